--- /dev/null
+++ b/src/cli/cli.ts
@@ -0,0 +1,72 @@
+import { Command } from 'commander';
+import { ConfigError, loadSettings } from '../config/settings.ts';
+import { loadOptions, TUNABLES } from '../config/options.ts';
+import { makeLogger } from '../core/log.ts';
+import { Service } from '../core/service.ts';
+
+export const VERSION = '0.1.0';
+
+const EXIT_CONFIG = 2;
+
+async function serve(args: { config: string; options?: string }): Promise<void> {
+  const settings = loadSettings(args.config);
+  const options = await loadOptions(args.options);
+  const log = makeLogger(process.env['LOG_LEVEL'], settings.host_name);
+  // The owner catches faults of its commands; whatever else slips through is logged rather than ending all work.
+  process.on('uncaughtException', (error) => {
+    log.error({ error: error.stack ?? error.message }, 'uncaught');
+  });
+  process.on('unhandledRejection', (reason) => {
+    log.error(
+      { error: reason instanceof Error ? (reason.stack ?? reason.message) : String(reason) },
+      'unhandled',
+    );
+  });
+  await new Service(settings, options, log).start();
+}
+
+function printOptions(): void {
+  for (const [section, fields] of Object.entries(TUNABLES)) {
+    process.stdout.write(`${section}:\n`);
+    for (const [name, t] of Object.entries(fields)) {
+      process.stdout.write(`  ${name}: ${t.value} # ${t.unit}, ${t.min} to ${t.max}: ${t.about}\n`);
+    }
+  }
+}
+
+export function buildProgram(): Command {
+  const program = new Command('pondwick');
+  program.description('A cluster scheduler that places tasks by min-cost flow rounds.').version(VERSION);
+  program
+    .command('serve')
+    .description('run one controller')
+    .requiredOption('--config <file>', "the platform's settings file (JSON)")
+    .option('--options <file>', "the operators' own settings (YAML)")
+    .action(serve);
+  const config = program.command('config').description('settings files');
+  config
+    .command('check')
+    .description('check a settings file and say what is wrong with it')
+    .argument('<file>', 'settings file (JSON)')
+    .option('--options <file>', "the operators' own settings (YAML)")
+    .action(async (file: string, args: { options?: string }) => {
+      const settings = loadSettings(file);
+      await loadOptions(args.options);
+      process.stdout.write(`${settings.host_name}: settings are valid\n`);
+    });
+  config
+    .command('options')
+    .description("print every option with its default, unit and bounds, as an operators' YAML file")
+    .action(printOptions);
+  return program;
+}
+
+export async function main(argv: readonly string[]): Promise<void> {
+  try {
+    await buildProgram().parseAsync([...argv]);
+  } catch (error) {
+    if (error instanceof ConfigError) process.stderr.write(`pondwick: ${error.message}\n`);
+    else process.stderr.write(`pondwick: ${(error as Error).message}\n`);
+    process.exitCode = EXIT_CONFIG;
+  }
+}
--- /dev/null
+++ b/src/config/options.ts
@@ -0,0 +1,123 @@
+import * as z from 'zod/mini';
+import { check, ConfigError, readText } from './settings.ts';
+
+interface Tunable {
+  value: number;
+  min: number;
+  max: number;
+  unit: string;
+  about: string;
+}
+
+const tunable = (value: number, min: number, max: number, unit: string, about: string): Tunable => ({
+  value,
+  min,
+  max,
+  unit,
+  about,
+});
+
+/** Every tunable with its default, bounds and unit. The options file and its documentation come from here. */
+export const TUNABLES = {
+  leadership: {
+    lease_ms: tunable(3000, 500, 60_000, 'ms', 'time to live of the leader lease in the state service'),
+    renew_ms: tunable(700, 100, 20_000, 'ms', 'pause between renewals of the leader lease'),
+    grace_s: tunable(12, 0, 300, 's', 'how long reports are still answered once the lease is not sure'),
+  },
+  scheduling: {
+    takeover_wait_s: tunable(10, 0, 300, 's', 'wait of a new leader before it places'),
+    round_gap_ms: tunable(40, 0, 10_000, 'ms', 'least time between two rounds'),
+    round_limit_ms: tunable(250, 10, 10_000, 'ms', 'time after which a round takes what it has found'),
+    max_groups: tunable(64, 1, 10_000, 'groups', 'groups in one round; others wait for the next'),
+    reserve_after_s: tunable(60, 1, 3600, 's', 'a job that waited longer keeps its nearest machines free'),
+    finish_batch_ms: tunable(500, 500, 10_000, 'ms', 'least time between two writes of finished tasks'),
+    fetch_steps: tunable(1, 0, 1000, 'steps/s', 'cost of a second of image fetch, in tasks of load'),
+    price_steps: tunable(3, 0, 1000, 'steps', 'cost of each unit of hourly price over the cheapest type'),
+    preempt: tunable(1, 0, 1, 'flag', '1: tasks of lower rank are stopped to make room'),
+  },
+  workers: {
+    silent_reports: tunable(
+      4,
+      2,
+      100,
+      'intervals',
+      'report intervals of silence after which a machine is returned',
+    ),
+    save_margin_s: tunable(4, 0, 60, 's', 'time kept beside the saving time when a machine is taken away'),
+  },
+  fleet: {
+    idle_s: tunable(20, 0, 3600, 's', 'idle time after which a machine is returned'),
+    boot_patience: tunable(
+      2.5,
+      1,
+      20,
+      'times',
+      'multiple of the boot time after which a machine is given up',
+    ),
+    rent_at_once: tunable(8, 1, 50, 'machines', 'machines of one kind rented in one request'),
+    refusal_pause_s: tunable(8, 1, 600, 's', 'pause after a refused rental; doubles'),
+    refusal_pause_max_s: tunable(30, 1, 3600, 's', 'longest pause after refused rentals'),
+    list_s: tunable(10, 1, 600, 's', 'time between two readings of the machine list'),
+  },
+  users: {
+    forward_ms: tunable(700, 50, 5000, 'ms', 'wait for the leader when a request is handed to it'),
+    retry_after_s: tunable(1, 1, 30, 's', 'what a refused user is told to wait'),
+    final_cache: tunable(5000, 0, 1_000_000, 'jobs', 'final states kept in memory'),
+  },
+  http: {
+    users_min: tunable(8, 1, 10_000, 'requests', 'least limit of user requests in progress'),
+    users_max: tunable(400, 1, 10_000, 'requests', 'greatest limit of user requests in progress'),
+    workers_min: tunable(16, 1, 10_000, 'requests', 'least limit of worker reports in progress'),
+    workers_max: tunable(400, 1, 10_000, 'requests', 'greatest limit of worker reports in progress'),
+  },
+};
+
+type Sections = typeof TUNABLES;
+export type Options = { [S in keyof Sections]: Record<keyof Sections[S], number> };
+
+export function defaultOptions(): Options {
+  const out: Record<string, Record<string, number>> = {};
+  for (const [section, fields] of Object.entries(TUNABLES)) {
+    out[section] = Object.fromEntries(
+      Object.entries(fields as Record<string, Tunable>).map(([k, t]) => [k, t.value]),
+    );
+  }
+  return out as Options;
+}
+
+function schema() {
+  const sections: Record<string, z.ZodMiniType> = {};
+  for (const [section, fields] of Object.entries(TUNABLES)) {
+    const shape: Record<string, z.ZodMiniType> = {};
+    for (const [name, t] of Object.entries(fields as Record<string, Tunable>)) {
+      shape[name] = z.optional(z.number().check(z.minimum(t.min), z.maximum(t.max)));
+    }
+    sections[section] = z.optional(z.strictObject(shape));
+  }
+  return z.strictObject(sections);
+}
+
+/** Checks parsed YAML. Unknown keys are an error here: they are most likely misspelt. */
+export function parseOptions(raw: unknown): Options {
+  const options = defaultOptions();
+  if (raw === null || raw === undefined) return options;
+  const given = check('options', schema(), raw) as Record<string, Record<string, number> | undefined>;
+  for (const [section, fields] of Object.entries(given)) {
+    Object.assign(options[section as keyof Options], fields);
+  }
+  return options;
+}
+
+/** Reads the operators' YAML. The library is loaded only when there is such a file. */
+export async function loadOptions(path: string | undefined): Promise<Options> {
+  if (path === undefined) return defaultOptions();
+  const text = readText('options', path);
+  const { parse } = await import('yaml');
+  let raw: unknown;
+  try {
+    raw = parse(text);
+  } catch (error) {
+    throw new ConfigError(`options: (top): not valid YAML: ${(error as Error).message.split('\n')[0] ?? ''}`);
+  }
+  return parseOptions(raw);
+}
--- /dev/null
+++ b/src/core/clock.ts
@@ -0,0 +1,15 @@
+/** Time as the service sees it. Decisions take it as a value, so tests can move it by hand. */
+export interface Clock {
+  /** Steady milliseconds; only differences mean anything. */
+  now(): number;
+  /** Time of day in milliseconds; off by up to the bound in the settings. */
+  wall(): number;
+}
+
+export const systemClock: Clock = {
+  now: () => performance.now(),
+  wall: () => Date.now(),
+};
+
+/** The steady clocks of two machines drift apart by up to 0.05%; twice that is kept as a margin. */
+export const DRIFT = 0.001;
--- /dev/null
+++ b/src/core/leader.ts
@@ -0,0 +1,1046 @@
+import type { Logger } from './log.ts';
+import { DRIFT, type Clock } from './clock.ts';
+import type { Intern } from './intern.ts';
+import type { Settings } from '../config/settings.ts';
+import type { Options } from '../config/options.ts';
+import type { TeamLimits } from '../jobs/admission.ts';
+import type { Catalog } from '../fleet/catalog.ts';
+import { Fleet } from '../fleet/fleet.ts';
+import type { CloudClient } from '../fleet/cloud.ts';
+import { ASSIGNED, Job } from '../jobs/job.ts';
+import { chunkValue, finalValue, readChunk, readOpen } from '../jobs/records.ts';
+import { KEYS } from '../store/keys.ts';
+import type { LeaderWriter } from '../store/writer.ts';
+import type { Item, WatchEvent } from '../wire/state.ts';
+import type { JobStatus } from '../wire/user.ts';
+import type { Command, Report } from '../wire/worker.ts';
+import { attemptKey, Machine, type Attempt, type MachineIdentity } from '../workers/machine.ts';
+import { applyReport, commandsFor, isNewer, loseAll, type WorkerEvent } from '../workers/reconcile.ts';
+import { runRound } from '../scheduling/round.ts';
+import { pickVictims, type VictimView } from '../scheduling/preempt.ts';
+import type { GroupView, MachineView, Room, TeamRoom } from '../scheduling/view.ts';
+
+/** What the leader does to the world; all of it goes through here, so tests can watch. */
+export interface LeaderHost {
+  clock: Clock;
+  log: Logger;
+  /** True while no other node can hold the leader key. */
+  surelyLeading(): boolean;
+  /** Sends orders straight to a worker; null without an answer. `executed` false: it refused them. */
+  order(
+    machine: Machine,
+    commands: Command[],
+  ): Promise<{ report: Report; executed: boolean } | 'not_sent' | 'silent'>;
+  inspect(machine: Machine): Promise<Report | null>;
+  final(id: string, status: JobStatus): void;
+  isFinal(id: string): boolean;
+  /** Something changed: schedule a batch. */
+  post(command: () => void): void;
+  superseded(): void;
+}
+
+interface Gang {
+  number: number;
+  members: Set<Attempt>;
+  /** Set when the run is over or must end; a new one starts once all members are released. */
+  ending: boolean;
+  started: boolean;
+}
+
+export interface LeaderDeps {
+  host: LeaderHost;
+  settings: Settings;
+  options: Options;
+  teams: readonly TeamLimits[];
+  zones: Intern;
+  catalog: Catalog;
+  cloud: CloudClient;
+  writer: LeaderWriter;
+  term: number;
+  graceMs: number;
+}
+
+const ATTEMPTS_PER_TERM = 2 ** 24;
+
+/** Everything one leadership knows. It starts empty and is thrown away whole when the leadership ends. */
+export class Leader {
+  readonly jobs = new Map<string, Job>();
+  readonly jobList = new Map<number, Job>();
+  private readonly jobIndex = new Map<Job, number>();
+  private nextJob = 0;
+  readonly machines = new Map<string, Machine>();
+  private readonly byIndex: Machine[] = [];
+  private readonly gangs = new Map<Job, Gang>();
+  private readonly fleet: Fleet;
+  private readonly usage: { cpus: number; gpus: number }[];
+  private loaded = false;
+  private readonly startedAt: number;
+  private attemptCount = 0;
+  private dirty = true;
+  private lastRoundAt = -Infinity;
+  private flushDueAt = Infinity;
+  private lastFlushAt = -Infinity;
+  private gangsChecked = false;
+  private readonly dirtyJobs = new Set<Job>();
+  private stopped = false;
+  private readonly log: Logger;
+
+  constructor(private readonly deps: LeaderDeps) {
+    this.startedAt = deps.host.clock.now();
+    this.log = deps.host.log;
+    this.usage = deps.teams.map(() => ({ cpus: 0, gpus: 0 }));
+    this.fleet = new Fleet({
+      clock: deps.host.clock,
+      log: this.log,
+      cloud: deps.cloud,
+      catalog: deps.catalog,
+      zones: deps.zones,
+      options: deps.options,
+      term: deps.term,
+      listLagS: deps.settings.settings.cloud.list_lag_s,
+      post: (command) => {
+        deps.host.post(command);
+      },
+      returning: (names) => {
+        this.markReturning(names);
+      },
+      gone: (names) => {
+        for (const name of names) this.machineGone(name);
+      },
+    });
+  }
+
+  get term(): number {
+    return this.deps.term;
+  }
+
+  stop(): void {
+    this.stopped = true;
+    this.deps.writer.stop();
+  }
+
+  private now(): number {
+    return this.deps.host.clock.now();
+  }
+
+  // ---- taking over ----
+
+  load(open: readonly Item[], finished: readonly Item[], roster: readonly Item[]): void {
+    for (const item of open) {
+      const record = readOpen(item.value);
+      if (!record) {
+        this.log.error({ key: item.key }, 'a job record is malformed');
+        continue;
+      }
+      this.addJob(record.job.id, item.value, true);
+    }
+    for (const item of finished) {
+      const [, id, chunk] = item.key.split('/');
+      const job = this.jobs.get(id ?? '');
+      const bits = readChunk(item.value);
+      if (job && bits) job.markChunkDurable(Number(chunk), bits);
+      else if (!job) this.deps.writer.push({ changes: [{ delete: item.key }], done: () => undefined }, false);
+    }
+    const now = this.now();
+    for (const item of roster) {
+      const id = item.value as MachineIdentity;
+      if (typeof id.address !== 'string' || typeof id.machineType !== 'string') continue;
+      const known = this.machines.get(id.name);
+      if (known) {
+        known.rostered = true;
+        continue;
+      }
+      const machine = this.addMachine(id, now + this.deps.graceMs);
+      machine.rostered = true;
+    }
+    this.loaded = true;
+    this.dirty = true;
+    this.log.info(
+      { jobs: this.jobs.size, roster: roster.length, term: this.term },
+      'state read, reaching the machines of the roster',
+    );
+    for (const job of this.jobs.values()) this.maybeFinish(job);
+  }
+
+  /** Nothing an earlier leader started can be unknown any more. */
+  private allAccounted(): boolean {
+    for (const m of this.machines.values()) if (!m.accounted) return false;
+    return true;
+  }
+
+  private mayPlace(): boolean {
+    return (
+      this.loaded &&
+      this.now() - this.startedAt >= this.deps.options.scheduling.takeover_wait_s * 1000 &&
+      this.deps.host.surelyLeading()
+    );
+  }
+
+  // ---- jobs ----
+
+  private addJob(id: string, value: unknown, inherited: boolean): Job | null {
+    if (this.jobs.has(id)) return this.jobs.get(id)!;
+    const record = readOpen(value);
+    if (!record) return null;
+    const team = this.deps.teams.findIndex((t) => t.name === record.job.team);
+    if (team < 0) {
+      this.log.error({ job: id, team: record.job.team }, 'a job of a team that the settings lack');
+      return null;
+    }
+    const job = new Job(record.job, team, record.createdWall, inherited, this.now());
+    const index = this.nextJob++;
+    this.jobs.set(id, job);
+    this.jobList.set(index, job);
+    this.jobIndex.set(job, index);
+    this.dirty = true;
+    this.log.debug({ job: id, tasks: job.spec.tasks, class: job.spec.className }, 'job taken in');
+    return job;
+  }
+
+  onStoreEvents(events: readonly WatchEvent[]): void {
+    for (const e of events) {
+      const id = e.key.slice(KEYS.openPrefix.length);
+      if (e.deleted) this.over.delete(id);
+      else if (!this.over.has(id)) this.addJob(id, e.value, false);
+    }
+  }
+
+  /** Found open in the store by this node; the watch would bring it a little later. */
+  created(id: string, value: unknown): void {
+    if (this.loaded && !this.over.has(id) && !this.deps.host.isFinal(id)) this.addJob(id, value, false);
+  }
+
+  /** The state of a job as of now, or null if this leader doesn't know it. */
+  status(id: string): JobStatus | null {
+    if (!this.loaded || !this.deps.host.surelyLeading()) return null;
+    return this.jobs.get(id)?.status() ?? null;
+  }
+
+  /** Cancels a job. The callback comes once the outcome is durable; false: the job is not known here. */
+  cancel(id: string, settled: (status: JobStatus) => void): boolean {
+    const job = this.jobs.get(id);
+    if (!this.loaded || !job || !this.deps.host.surelyLeading()) return false;
+    job.whenFinal.push(() => {
+      settled(job.status());
+    });
+    if (job.ending === null) this.finish(job, 'cancelled');
+    return true;
+  }
+
+  private finish(job: Job, outcome: 'done' | 'cancelled'): void {
+    job.ending = outcome;
+    this.over.add(job.id);
+    this.dirty = true;
+    this.log.debug({ job: job.id, outcome }, 'job ends');
+    if (outcome === 'cancelled') this.stopTasks(job, 0);
+    const changes = [
+      { delete: KEYS.open(job.id) },
+      { put: KEYS.final(job.id), value: finalValue(outcome, job.doneCount) },
+    ];
+    const chunks: { delete: string }[] = [];
+    for (const chunk of job.storedChunks) chunks.push({ delete: KEYS.finished(job.id, chunk) });
+    const together = chunks.length + changes.length < this.deps.settings.settings.state.txn_ops;
+    this.deps.writer.push(
+      {
+        changes: together ? [...changes, ...chunks] : changes,
+        done: () => {
+          this.deps.host.post(() => {
+            this.ended(job, outcome);
+          });
+        },
+      },
+      outcome === 'cancelled',
+    );
+    if (!together) {
+      for (const change of chunks) this.deps.writer.push({ changes: [change], done: () => undefined }, false);
+    }
+  }
+
+  private ended(job: Job, outcome: 'done' | 'cancelled'): void {
+    job.final = outcome;
+    this.deps.host.final(job.id, job.status());
+    for (const settled of job.whenFinal) settled();
+    job.whenFinal.length = 0;
+    this.log.info({ job: job.id, outcome }, 'job over');
+    this.forgetIfEmpty(job);
+  }
+
+  /** Drops a job that is over once none of its tasks can be anywhere. */
+  private forgetIfEmpty(job: Job): void {
+    if (job.final === null || (this.liveOf.get(job)?.size ?? 0) > 0) return;
+    this.jobs.delete(job.id);
+    const index = this.jobIndex.get(job);
+    if (index !== undefined) this.jobList.delete(index);
+    this.jobIndex.delete(job);
+    this.gangs.delete(job);
+    this.liveOf.delete(job);
+  }
+
+  /**
+   * Jobs that this leader has ended, until the watch tells of the end: a late event of their creation must not
+   * bring them back to life.
+   */
+  private readonly over = new Set<string>();
+  private readonly liveOf = new Map<Job, Set<Attempt>>();
+
+  private stopTasks(job: Job, graceS: number): void {
+    for (const a of this.liveOf.get(job) ?? []) this.stopAttempt(a, graceS);
+  }
+
+  private stopAttempt(a: Attempt, graceS: number): void {
+    if (a.released || (a.stopGraceS !== null && a.stopGraceS <= graceS)) return;
+    a.stopGraceS = graceS;
+    a.machine.pushAfter = 0;
+  }
+
+  private maybeFinish(job: Job): void {
+    if (job.ending === null && job.allDone) this.finish(job, 'done');
+  }
+
+  // ---- attempts ----
+
+  private hold(a: Attempt): void {
+    if (!a.job) return;
+    let live = this.liveOf.get(a.job);
+    if (!live) {
+      live = new Set();
+      this.liveOf.set(a.job, live);
+    }
+    live.add(a);
+    const use = this.usage[a.job.team]!;
+    use.cpus += a.job.spec.cpus;
+    use.gpus += a.job.spec.gpus;
+  }
+
+  private start(job: Job, machine: Machine, number: number): Attempt | null {
+    const task = job.takePending();
+    if (task < 0) return null;
+    const a: Attempt = {
+      jobId: job.id,
+      task,
+      number,
+      machine,
+      job,
+      phase: 'launching',
+      seen: false,
+      released: false,
+      cause: null,
+      stopGraceS: null,
+      doubt: false,
+      underWay: 0,
+      assignedAt: this.now(),
+      runningSince: null,
+      launchedInSeq: -1,
+    };
+    machine.attempts.set(attemptKey(a.jobId, task, number), a);
+    machine.pushAfter = 0;
+    this.hold(a);
+    job.waitingSince = this.now();
+    return a;
+  }
+
+  private nextAttempt(): number {
+    this.attemptCount += 1;
+    return this.term * ATTEMPTS_PER_TERM + this.attemptCount;
+  }
+
+  private apply(events: readonly WorkerEvent[]): void {
+    for (const e of events) {
+      switch (e.kind) {
+        case 'seen':
+          this.onSeen(e.attempt);
+          break;
+        case 'running':
+          if (e.attempt.job) e.attempt.job.running += 1;
+          this.onGangRunning(e.attempt);
+          break;
+        case 'released':
+          this.onReleased(e.attempt, e.saved);
+          break;
+      }
+    }
+  }
+
+  private onSeen(a: Attempt): void {
+    const job = a.job;
+    if (!job || this.liveOf.get(job)?.has(a)) {
+      if (!job) a.stopGraceS = 0;
+      return;
+    }
+    // A task that an earlier leader started.
+    this.hold(a);
+    if (!job.adopt(a.task)) {
+      // Done already, or held elsewhere: one of the two must go, and this one is the older news.
+      a.stopGraceS = 0;
+    }
+    if (job.ending !== null) a.stopGraceS = 0;
+    if (job.spec.gang) this.adoptGangMember(job, a);
+  }
+
+  private adoptGangMember(job: Job, a: Attempt): void {
+    let gang = this.gangs.get(job);
+    if (!gang) {
+      gang = { number: a.number, members: new Set(), ending: false, started: false };
+      this.gangs.set(job, gang);
+    }
+    gang.members.add(a);
+    if (gang.number !== a.number) {
+      this.log.info({ job: job.id }, 'tasks of two attempts of a gang: all are stopped');
+      this.endGang(job, gang);
+    }
+    if (gang.ending) this.stopAttempt(a, 0);
+  }
+
+  private endGang(job: Job, gang: Gang): void {
+    gang.ending = true;
+    for (const member of gang.members) this.stopAttempt(member, 0);
+    this.dirty = true;
+    this.log.debug({ job: job.id }, 'gang ends');
+  }
+
+  private onGangRunning(a: Attempt): void {
+    const gang = a.job ? this.gangs.get(a.job) : undefined;
+    if (gang) gang.started = true;
+  }
+
+  private onReleased(a: Attempt, saved: boolean): void {
+    this.dirty = true;
+    const job = a.job;
+    if (!job) return;
+    const live = this.liveOf.get(job);
+    if (!live?.delete(a)) {
+      if (a.cause === 'done') this.taskDone(job, a.task);
+      return;
+    }
+    const use = this.usage[job.team]!;
+    use.cpus -= job.spec.cpus;
+    use.gpus -= job.spec.gpus;
+    if (a.runningSince !== null) job.running = Math.max(0, job.running - 1);
+    this.log.debug(
+      {
+        job: job.id,
+        task: a.task,
+        machine: a.machine.name,
+        cause: a.cause,
+        saved,
+        after: this.now() - a.assignedAt,
+      },
+      'task ended',
+    );
+    if (a.machine.liveCount === 0) a.machine.idleSince = this.now();
+    const gang = job.spec.gang ? this.gangs.get(job) : undefined;
+    if (a.cause === 'done') {
+      if (gang) for (let task = 0; task < job.spec.tasks; task++) job.markDone(task);
+      this.taskDone(job, a.task);
+    } else if (job.state[a.task] === ASSIGNED) {
+      job.giveBack(a.task, this.now());
+      if (a.cause === 'error') this.onError(job, a.machine);
+      else if (a.cause === 'unknown') job.notBefore = this.now() + 2000;
+    }
+    if (gang) {
+      gang.members.delete(a);
+      if (gang.members.size === 0) this.gangs.delete(job);
+      else if (a.cause !== 'done' && !gang.ending) this.endGang(job, gang);
+    }
+    if (job.final) this.forgetIfEmpty(job);
+  }
+
+  private onError(job: Job, machine: Machine): void {
+    const now = this.now();
+    job.failures += 1;
+    job.avoid.add(machine.index);
+    machine.errors += 1;
+    machine.lastErrorAt = now;
+    // Failing on several machines points to the job: it is tried ever more seldom, anywhere.
+    if (job.failures >= 3) {
+      job.notBefore = now + Math.min(120_000, 5000 * 2 ** Math.min(5, job.failures - 3));
+      job.avoid.clear();
+    }
+    this.log.info({ job: job.id, machine: machine.name, failures: job.failures }, 'a task failed');
+  }
+
+  private taskDone(job: Job, task: number): void {
+    job.markDone(task);
+    if (job.ending !== null) return;
+    this.dirtyJobs.add(job);
+    if (this.flushDueAt === Infinity) {
+      this.flushDueAt = Math.max(this.now(), this.lastFlushAt + this.deps.options.scheduling.finish_batch_ms);
+    }
+  }
+
+  /** Writes finished tasks, at most twice a second. A job that is complete goes straight to its final state. */
+  private flushFinished(): void {
+    if (this.now() < this.flushDueAt || this.deps.writer.backlog > 50) return;
+    this.flushDueAt = Infinity;
+    this.lastFlushAt = this.now();
+    for (const job of this.dirtyJobs) {
+      if (job.ending !== null) continue;
+      if (job.allDone) {
+        this.finish(job, 'done');
+        continue;
+      }
+      for (const chunk of job.dirtyChunks) {
+        const bits = job.chunkBits(chunk);
+        job.storedChunks.add(chunk);
+        this.deps.writer.push(
+          {
+            changes: [{ put: KEYS.finished(job.id, chunk), value: chunkValue(bits) }],
+            done: () => {
+              this.deps.host.post(() => {
+                job.markChunkDurable(chunk, bits);
+              });
+            },
+          },
+          false,
+        );
+      }
+      job.dirtyChunks.clear();
+    }
+    this.dirtyJobs.clear();
+  }
+
+  // ---- machines ----
+
+  private addMachine(id: MachineIdentity, answeredBefore: number): Machine {
+    const machine = new Machine(
+      this.byIndex.length,
+      id,
+      this.deps.catalog.typeIndex(id.machineType),
+      this.deps.zones.index(id.zone),
+      this.now(),
+      answeredBefore,
+    );
+    this.machines.set(id.name, machine);
+    this.byIndex.push(machine);
+    return machine;
+  }
+
+  /** A worker's own report. Returns the commands of the answer, or null if it must not be answered with 200. */
+  onReport(report: Report): Command[] | null {
+    if (report.token > this.term) {
+      this.deps.host.superseded();
+      return null;
+    }
+    if (!this.loaded) return [];
+    const machine = this.takeReport(report, false);
+    if (!machine) return [];
+    // Whatever the answer says, the lease of this worker may be renewed by it.
+    machine.answeredAt = Math.max(machine.answeredAt, this.now());
+    return commandsFor(machine, this.mayStartOn(machine));
+  }
+
+  private mayStartOn(machine: Machine): boolean {
+    return machine.rostered && !machine.returning && this.deps.host.surelyLeading();
+  }
+
+  private takeReport(report: Report, direct: boolean): Machine | null {
+    let machine = this.machines.get(report.machine);
+    if (!machine) {
+      if (this.fleet.wasReturned(report.machine)) return null;
+      machine = this.addMachine(
+        {
+          name: report.machine,
+          address: report.address,
+          machineType: report.machineType,
+          zone: report.zone,
+          spot: report.spot,
+        },
+        this.startedAt + this.deps.graceMs,
+      );
+      this.log.info({ machine: report.machine, type: report.machineType, zone: report.zone }, 'machine up');
+      this.dirty = true;
+    }
+    if (!isNewer(machine, report)) return machine;
+    this.fleet.up(report.machine);
+    this.apply(
+      applyReport(machine, report, direct, { now: this.now(), jobOf: (id) => this.jobs.get(id) ?? null }),
+    );
+    if (report.token === this.term && !machine.accounted) {
+      machine.accounted = true;
+      this.dirty = true;
+    }
+    if (!machine.rostered && !machine.rosterQueued) this.enroll(machine);
+    return machine;
+  }
+
+  private enroll(machine: Machine): void {
+    machine.rosterQueued = true;
+    this.deps.writer.push(
+      {
+        changes: [{ put: KEYS.machine(machine.name), value: machine.id }],
+        done: () => {
+          this.deps.host.post(() => {
+            machine.rostered = true;
+            this.dirty = true;
+          });
+        },
+      },
+      true,
+    );
+  }
+
+  /** The machine and everything on it are gone for certain. */
+  private machineGone(name: string): void {
+    const machine = this.machines.get(name);
+    if (!machine) return;
+    this.apply(loseAll(machine));
+    this.machines.delete(name);
+    this.dirty = true;
+    if (machine.rostered || machine.rosterQueued) {
+      this.deps.writer.push({ changes: [{ delete: KEYS.machine(name) }], done: () => undefined }, false);
+    }
+  }
+
+  // ---- batches ----
+
+  /** Runs after each batch of commands: writes, a round if something changed, orders to workers. */
+  afterBatch(): void {
+    if (this.stopped || !this.loaded) return;
+    this.flushFinished();
+    this.watchMachines();
+    if (this.mayPlace()) {
+      this.checkGangs();
+      this.round();
+    }
+    this.pushOrders();
+  }
+
+  private leaseOver(machine: Machine): boolean {
+    const lease = this.deps.settings.settings.workers.lease_s * 1000;
+    return this.now() > machine.answeredAt + lease * (1 + DRIFT) + 500;
+  }
+
+  private lastWatch = -Infinity;
+
+  private watchMachines(): void {
+    const now = this.now();
+    if (now - this.lastWatch < 400) return;
+    this.lastWatch = now;
+    const reportMs = this.deps.settings.settings.workers.report_s * 1000;
+    const silentMs = reportMs * this.deps.options.workers.silent_reports;
+    const silentByZone = new Map<number, number>();
+    const totalByZone = new Map<number, number>();
+    for (const m of this.machines.values()) {
+      totalByZone.set(m.zone, (totalByZone.get(m.zone) ?? 0) + 1);
+      if (now - Math.max(m.heardAt, this.startedAt) > silentMs) {
+        silentByZone.set(m.zone, (silentByZone.get(m.zone) ?? 0) + 1);
+      }
+    }
+    for (const m of [...this.machines.values()]) {
+      if (this.leaseOver(m) && (m.attempts.size > 0 || !m.accounted)) {
+        // Its session has ended on its own clock, and launches meant for that session are refused.
+        this.log.info({ machine: m.name }, 'lease surely over');
+        this.apply(loseAll(m));
+        m.accounted = true;
+        this.dirty = true;
+      }
+      const quietMs = now - Math.max(m.heardAt, this.startedAt);
+      if (quietMs > reportMs * 1.6) this.probe(m);
+      if (quietMs > silentMs && !m.returning) {
+        // Many silent machines of one zone point to a cut, which may end; single ones have died.
+        const silent = silentByZone.get(m.zone) ?? 0;
+        const cut = silent >= 3 && silent * 2 > (totalByZone.get(m.zone) ?? 0);
+        if (!cut || this.leaseOver(m)) {
+          this.log.info({ machine: m.name, quietMs: Math.round(quietMs) }, 'silent machine, returned');
+          this.fleet.giveBack([m.name]);
+        }
+      }
+      for (const a of m.attempts.values()) this.watchAttempt(m, a, now);
+    }
+    this.probeUnaccounted();
+    this.fleet.tick();
+    this.fleet.syncList(new Set(this.machines.keys()));
+  }
+
+  private watchAttempt(m: Machine, a: Attempt, now: number): void {
+    if (a.released) return;
+    // A launch in doubt of a task that must not run: returning the machine is the only sure end before the lease.
+    const cancelMs = this.deps.settings.settings.workers.cancel_s * 1000;
+    if (a.stopGraceS !== null && !a.seen && a.doubt && now - a.assignedAt > cancelMs / 4 && !m.returning) {
+      this.log.info(
+        { machine: m.name, job: a.jobId },
+        'launch in doubt of a task to be stopped: machine returned',
+      );
+      this.fleet.giveBack([m.name]);
+    }
+    if (m.takenAt === null || a.stopGraceS !== null || !a.job) return;
+    const spec = a.job.spec;
+    if (spec.checkpointS <= 0) return;
+    const leftMs = m.takenAt - now;
+    if (leftMs < (spec.saveS + this.deps.options.workers.save_margin_s) * 1000)
+      this.stopOrderly(a, 'spot notice');
+  }
+
+  /** Stops a task so that it can save; of a gang all tasks at the same time. */
+  private stopOrderly(a: Attempt, reason: string): void {
+    const job = a.job!;
+    const graceS = job.spec.checkpointS > 0 ? job.spec.saveS + 2 : 0;
+    const gang = job.spec.gang ? this.gangs.get(job) : undefined;
+    this.log.info(
+      { job: job.id, task: a.task, machine: a.machine.name, reason },
+      'task stopped to make room',
+    );
+    if (!gang) {
+      this.stopAttempt(a, graceS);
+      return;
+    }
+    gang.ending = true;
+    for (const member of gang.members) this.stopAttempt(member, graceS);
+  }
+
+  private probing = new Set<Machine>();
+
+  /** Asks a quiet worker directly: its reports may be lost on the way while it lives. */
+  private probe(m: Machine): void {
+    if (this.probing.has(m) || m.id.address === '') return;
+    this.probing.add(m);
+    void this.deps.host.inspect(m).then((report) => {
+      setTimeout(() => this.probing.delete(m), 800);
+      if (report) {
+        this.deps.host.post(() => {
+          if (!this.stopped && this.machines.has(report.machine)) this.takeReport(report, true);
+        });
+      }
+    });
+  }
+
+  /** A roster machine is accounted for once it has seen our token: an empty order makes sure of that. */
+  private probeUnaccounted(): void {
+    for (const m of this.machines.values()) {
+      if (m.accounted || m.pushing) continue;
+      if (m.session === 0) this.probe(m);
+      else this.push(m, []);
+    }
+  }
+
+  private checkGangs(): void {
+    if (this.gangsChecked || !this.allAccounted()) return;
+    this.gangsChecked = true;
+    for (const [job, gang] of this.gangs) {
+      // A gang of which tasks are missing after everything is known can't go on.
+      if (!gang.ending && gang.members.size < job.spec.tasks && job.ending === null) {
+        this.log.info({ job: job.id }, 'gang incomplete after the takeover');
+        this.endGang(job, gang);
+      }
+    }
+  }
+
+  private pushOrders(): void {
+    const now = this.now();
+    for (const m of this.machines.values()) {
+      if (m.pushing || now < m.pushAfter || m.session === 0) continue;
+      if (!this.needsPush(m)) continue;
+      this.push(m, commandsFor(m, this.mayStartOn(m)));
+    }
+  }
+
+  private needsPush(m: Machine): boolean {
+    for (const a of m.attempts.values()) {
+      if (a.released) continue;
+      if (a.stopGraceS !== null ? a.seen : !a.seen && this.mayStartOn(m)) return true;
+    }
+    return false;
+  }
+
+  private push(m: Machine, commands: Command[]): void {
+    m.pushing = true;
+    const launched: Attempt[] = [];
+    for (const c of commands) {
+      if (c.op !== 'start') continue;
+      const a = m.attempts.get(attemptKey(c.jobId, c.task, c.attempt));
+      if (a) launched.push(a);
+    }
+    for (const a of launched) a.underWay += 1;
+    const session = m.session;
+    void this.deps.host.order(m, commands).then((result) => {
+      this.deps.host.post(() => {
+        m.pushing = false;
+        for (const a of launched) {
+          a.underWay -= 1;
+          if (result === 'silent') a.doubt = true;
+        }
+        if (result === 'silent' || result === 'not_sent') {
+          m.pushAfter = this.now() + 1000;
+          return;
+        }
+        m.pushAfter = this.now() + (result.executed ? 300 : 50);
+        if (result.report.token > this.term) {
+          this.deps.host.superseded();
+          return;
+        }
+        if (!this.stopped && this.machines.get(m.name) === m && result.report.session >= session) {
+          this.takeReport(result.report, true);
+        }
+      });
+    });
+  }
+
+  // ---- rounds ----
+
+  private freeOf(m: Machine): Room {
+    const type = this.deps.catalog.types[m.type];
+    if (!type || m.hasForeign) return { cpus: 0, gpus: 0, memory: 0 };
+    const free = { cpus: type.cpus, gpus: type.gpus, memory: type.memory };
+    for (const a of m.attempts.values()) {
+      if (a.released || !a.job) continue;
+      free.cpus -= a.job.spec.cpus;
+      free.gpus -= a.job.spec.gpus;
+      free.memory -= a.job.spec.memory;
+    }
+    return free;
+  }
+
+  private machineViews(): MachineView[] {
+    const views: MachineView[] = [];
+    const now = this.now();
+    for (const m of this.machines.values()) {
+      const type = this.deps.catalog.types[m.type];
+      if (!type || m.returning || m.draining || m.takenAt !== null) continue;
+      if (!m.rostered || m.token !== this.term || m.session === 0) continue;
+      const reportMs = this.deps.settings.settings.workers.report_s * 1000;
+      if (now - m.heardAt > reportMs * 1.6) continue;
+      if (m.errors >= 3 && now - m.lastErrorAt < 60_000) continue;
+      views.push({
+        machine: m.index,
+        type: m.type,
+        zone: m.zone,
+        spot: m.id.spot,
+        free: this.freeOf(m),
+        load: m.liveCount,
+        bootsInS: 0,
+        hasImage: (image) => m.images.has(image),
+        fetchGbPerS: type.fetchGbPerS,
+        penalty: m.errors * 5,
+        price: m.id.spot ? type.spotPrice : type.price,
+      });
+    }
+    for (const b of this.fleet.booting()) {
+      const type = this.deps.catalog.types[b.type]!;
+      views.push({
+        machine: -1 - b.index,
+        type: b.type,
+        zone: b.zone,
+        spot: b.spot,
+        free: { cpus: type.cpus, gpus: type.gpus, memory: type.memory },
+        load: 0,
+        bootsInS: Math.max(1, type.bootS - (now - b.rentedAt) / 1000),
+        hasImage: () => false,
+        fetchGbPerS: type.fetchGbPerS,
+        penalty: 0,
+        price: b.spot ? type.spotPrice : type.price,
+      });
+    }
+    return views;
+  }
+
+  private teamRooms(): TeamRoom[] {
+    // Machines not accounted for may run anything of any team that they can hold.
+    let hiddenCpus = 0;
+    let hiddenGpus = 0;
+    for (const m of this.machines.values()) {
+      if (m.accounted && !m.hasForeign) continue;
+      const type = this.deps.catalog.types[m.type];
+      hiddenCpus += type?.cpus ?? Infinity;
+      hiddenGpus += type?.gpus ?? Infinity;
+    }
+    return this.deps.teams.map((team, i) => ({
+      cpus: team.cpusMax > 0 ? team.cpusMax - this.usage[i]!.cpus - hiddenCpus : Infinity,
+      gpus: team.gpusMax > 0 ? team.gpusMax - this.usage[i]!.gpus - hiddenGpus : Infinity,
+    }));
+  }
+
+  /** Jobs that fit their team's guarantee together with the team's earlier unfinished ones. */
+  private guaranteedJobs(): Set<Job> {
+    const found = new Set<Job>();
+    const used = this.deps.teams.map(() => ({ cpus: 0, gpus: 0 }));
+    const ordered = [...this.jobs.values()].filter((j) => j.ending === null);
+    ordered.sort((a, b) => a.createdWall - b.createdWall);
+    for (const job of ordered) {
+      const team = this.deps.teams[job.team]!;
+      const sum = used[job.team]!;
+      const left = job.spec.tasks - job.doneCount;
+      sum.cpus += job.spec.cpus * left;
+      sum.gpus += job.spec.gpus * left;
+      const gpus = job.spec.gpus === 0 || sum.gpus <= team.gpus + 1e-9;
+      const cpus = team.cpus === 0 ? job.spec.gpus > 0 : sum.cpus <= team.cpus + 1e-9;
+      if (gpus && cpus) found.add(job);
+    }
+    return found;
+  }
+
+  private groups(): GroupView[] {
+    const now = this.now();
+    const accounted = this.allAccounted();
+    const guaranteed = this.guaranteedJobs();
+    const groups: GroupView[] = [];
+    for (const [index, job] of this.jobList) {
+      if (job.ending !== null || job.pendingCount === 0 || now < job.notBefore) continue;
+      if (job.inherited && !accounted) continue;
+      if (job.spec.gang && (this.gangs.has(job) || (this.liveOf.get(job)?.size ?? 0) > 0)) continue;
+      const spec = job.spec;
+      const liveByZone = new Map<number, number>();
+      if (spec.oneZone || spec.spread) {
+        for (const a of this.liveOf.get(job) ?? []) {
+          liveByZone.set(a.machine.zone, (liveByZone.get(a.machine.zone) ?? 0) + 1);
+        }
+      }
+      groups.push({
+        job: index,
+        team: job.team,
+        pending: job.pendingCount,
+        gang: spec.gang,
+        priority: spec.priority,
+        need: { cpus: spec.cpus, gpus: spec.gpus, memory: spec.memory },
+        types: spec.types ? new Set(spec.types.map((t) => this.deps.catalog.typeIndex(t))) : null,
+        zone: spec.zone === null ? -1 : this.deps.zones.index(spec.zone),
+        spot: spec.spot,
+        oneZone: spec.oneZone,
+        zoneCap: spec.spread ? Math.ceil(spec.tasks / 2) : Infinity,
+        liveByZone,
+        waitedMs: now - job.waitingSince,
+        image: spec.image,
+        imageGb: spec.imageGb,
+        avoid: job.avoid,
+        guaranteed: guaranteed.has(job),
+      });
+    }
+    return groups;
+  }
+
+  private round(): void {
+    const now = this.now();
+    const { scheduling } = this.deps.options;
+    const due = this.dirty ? scheduling.round_gap_ms : 1000;
+    if (now - this.lastRoundAt < due) return;
+    this.lastRoundAt = now;
+    this.dirty = false;
+    const groups = this.groups();
+    const machines = this.machineViews();
+    const { catalog } = this.deps;
+    const sizeOf = (type: number) => {
+      const t = catalog.types[type];
+      return t ? { cpus: t.cpus, gpus: t.gpus, memory: t.memory } : null;
+    };
+    const teamRoom = this.teamRooms();
+    const deadline = now + scheduling.round_limit_ms;
+    const result = runRound(
+      groups,
+      machines,
+      this.fleet.rentable(),
+      teamRoom,
+      sizeOf,
+      {
+        reserveAfterMs: scheduling.reserve_after_s * 1000,
+        maxGroups: scheduling.max_groups,
+        fetchSteps: scheduling.fetch_steps,
+        priceSteps: scheduling.price_steps,
+      },
+      () => this.now() > deadline,
+    );
+    const gangNumbers = new Map<number, number>();
+    for (const p of result.placements) {
+      const job = this.jobList.get(p.job)!;
+      const machine = this.byIndex[p.machine]!;
+      for (let i = 0; i < p.count; i++) {
+        let number: number;
+        if (job.spec.gang) {
+          number = gangNumbers.get(p.job) ?? this.nextAttempt();
+          gangNumbers.set(p.job, number);
+        } else {
+          number = this.nextAttempt();
+        }
+        const a = this.start(job, machine, number);
+        if (!a) break;
+        if (job.spec.gang) this.joinGang(job, a);
+      }
+      this.log.info({ job: job.id, machine: machine.name, tasks: p.count }, 'placed');
+    }
+    this.fleet.want(result.rents);
+    this.fleet.spare(this.idleMachines(), groups.length > 0);
+    this.makeRoom(groups, result.unplaced, result.awaiting, machines, teamRoom);
+    this.log.debug(
+      {
+        groups: groups.length,
+        machines: machines.length,
+        placed: result.placements.length,
+        unplaced: result.unplaced.size,
+        awaiting: result.awaiting.size,
+        ms: Math.round(this.now() - now),
+      },
+      'round',
+    );
+  }
+
+  private joinGang(job: Job, a: Attempt): void {
+    let gang = this.gangs.get(job);
+    if (!gang) {
+      gang = { number: a.number, members: new Set(), ending: false, started: false };
+      this.gangs.set(job, gang);
+    }
+    gang.members.add(a);
+  }
+
+  private idleMachines(): { name: string; type: number; zone: number; spot: boolean; idleMs: number }[] {
+    const now = this.now();
+    const idle = [];
+    for (const m of this.machines.values()) {
+      if (m.returning || m.liveCount > 0 || !m.accounted) continue;
+      idle.push({ name: m.name, type: m.type, zone: m.zone, spot: m.id.spot, idleMs: now - m.idleSince });
+    }
+    return idle;
+  }
+
+  /** A machine that the fleet gives back takes no new tasks from that moment. */
+  private markReturning(names: readonly string[]): void {
+    for (const name of names) {
+      const m = this.machines.get(name);
+      if (m) m.returning = true;
+    }
+  }
+
+  private makeRoom(
+    groups: readonly GroupView[],
+    unplaced: ReadonlyMap<number, number>,
+    awaiting: ReadonlyMap<number, number>,
+    machines: readonly MachineView[],
+    teamRoom: readonly TeamRoom[],
+  ): void {
+    if (!this.deps.options.scheduling.preempt) return;
+    const guaranteed = this.guaranteedJobs();
+    for (const group of groups) {
+      const waiting = (unplaced.get(group.job) ?? 0) + (awaiting.get(group.job) ?? 0);
+      if (waiting === 0) continue;
+      const victims = pickVictims(
+        group,
+        waiting,
+        machines,
+        (index) => this.victims(index, guaranteed),
+        teamRoom,
+      );
+      for (const a of victims) this.stopOrderly(a, `preempted for ${this.jobList.get(group.job)?.id ?? '?'}`);
+    }
+  }
+
+  private victims(index: number, guaranteed: ReadonlySet<Job>): VictimView<Attempt>[] {
+    const m = this.byIndex[index];
+    if (!m) return [];
+    const now = this.now();
+    return m.live().map((a) => ({
+      item: a,
+      priority: a.job?.spec.priority ?? 99,
+      team: a.job?.team ?? -1,
+      beyondGuarantee: a.job !== null && !guaranteed.has(a.job),
+      stopping: a.stopGraceS !== null,
+      need: a.job
+        ? { cpus: a.job.spec.cpus, gpus: a.job.spec.gpus, memory: a.job.spec.memory }
+        : { cpus: 0, gpus: 0, memory: 0 },
+      gang: a.job?.spec.gang ?? false,
+      lossS:
+        a.runningSince === null
+          ? 0
+          : a.job && a.job.spec.checkpointS > 0
+            ? a.job.spec.saveS
+            : (now - a.runningSince) / 1000,
+    }));
+  }
+}
--- /dev/null
+++ b/src/core/owner.ts
@@ -0,0 +1,46 @@
+/**
+ * The one owner of all state: commands queue up and are worked through in batches. Whatever comes out of a
+ * batch (answers, orders, writes) leaves after it, so that one round serves everything that arrived together.
+ */
+export class Owner {
+  private queue: (() => void)[] = [];
+  private scheduled = false;
+  private running = false;
+
+  constructor(
+    private readonly afterBatch: () => void,
+    private readonly onFault: (error: unknown) => void,
+    private readonly defer: (run: () => void) => void = setImmediate,
+  ) {}
+
+  /** Puts a command in the queue; it runs in the next batch, in order. */
+  post(command: () => void): void {
+    this.queue.push(command);
+    if (this.scheduled) return;
+    this.scheduled = true;
+    this.defer(() => {
+      this.drain();
+    });
+  }
+
+  private drain(): void {
+    this.scheduled = false;
+    if (this.running) return;
+    this.running = true;
+    const batch = this.queue;
+    this.queue = [];
+    for (const command of batch) {
+      try {
+        command();
+      } catch (error) {
+        this.onFault(error);
+      }
+    }
+    try {
+      this.afterBatch();
+    } catch (error) {
+      this.onFault(error);
+    }
+    this.running = false;
+  }
+}
--- /dev/null
+++ b/src/core/service.ts
@@ -0,0 +1,343 @@
+import { randomUUID } from 'node:crypto';
+import type { Options } from '../config/options.ts';
+import type { Settings } from '../config/settings.ts';
+import { Catalog } from '../fleet/catalog.ts';
+import { CloudClient } from '../fleet/cloud.ts';
+import { AdaptiveLimit } from '../http/limit.ts';
+import { failure, listen, type HttpRequest, type Reply } from '../http/server.ts';
+import { UserDoor, type LocalLeader } from '../jobs/door.ts';
+import { FinalCache } from '../jobs/finals.ts';
+import type { TeamLimits } from '../jobs/admission.ts';
+import { Election, type Leadership } from '../leadership/election.ts';
+import { Mesh } from '../mesh/mesh.ts';
+import { RateBudget } from '../store/budget.ts';
+import { StoreClient } from '../store/client.ts';
+import { KEYS } from '../store/keys.ts';
+import { LeaderWriter } from '../store/writer.ts';
+import { decodeReport, encodeReportAnswer, encodeReportTo } from '../wire/worker.ts';
+import { WorkerClient } from '../workers/client.ts';
+import { systemClock } from './clock.ts';
+import { Intern } from './intern.ts';
+import { Leader } from './leader.ts';
+import type { Logger } from './log.ts';
+import { Owner } from './owner.ts';
+
+const TICK_MS = 200;
+const JOB_PATH = /^\/work\/([^/]+)$/;
+const CANCEL_PATH = /^\/work\/([^/]+)\/cancel$/;
+
+/** One controller: wires the slices together and owns the leadership while it has it. */
+export class Service {
+  private readonly clock = systemClock;
+  private readonly owner: Owner;
+  private readonly store: StoreClient;
+  private readonly cloud: CloudClient;
+  private readonly workers = new WorkerClient();
+  private readonly mesh: Mesh;
+  private readonly door: UserDoor;
+  private readonly election: Election;
+  private readonly finals: FinalCache;
+  private readonly teams: TeamLimits[];
+  private readonly zones: Intern;
+  private readonly userLimit: AdaptiveLimit;
+  private readonly workerLimit: AdaptiveLimit;
+  private readonly graceMs: number;
+  private catalog: Catalog | null = null;
+  private leader: Leader | null = null;
+
+  constructor(
+    private readonly settings: Settings,
+    private readonly options: Options,
+    private readonly log: Logger,
+  ) {
+    const now = (): number => this.clock.now();
+    const { state, cloud, workers, teams, zones } = settings.settings;
+    this.owner = new Owner(
+      () => this.leader?.afterBatch(),
+      (error) => {
+        log.error(
+          { error: error instanceof Error ? (error.stack ?? error.message) : String(error) },
+          'fault',
+        );
+      },
+    );
+    this.store = new StoreClient(settings.endpoints.state, { rps: state.rps }, now, log);
+    this.cloud = new CloudClient(settings.endpoints.cloud, cloud.rps, now, log);
+    this.finals = new FinalCache(options.users.final_cache);
+    this.teams = teams.map((t) => ({
+      name: t.name,
+      cpus: t.cpus,
+      gpus: t.gpus,
+      cpusMax: t.cpus_max,
+      gpusMax: t.gpus_max,
+    }));
+    this.zones = new Intern(zones);
+    // With the workers' lease it must stay within the time of a cancellation.
+    this.graceMs =
+      Math.min(options.leadership.grace_s, Math.max(0, (workers.cancel_s - workers.lease_s) * 0.6)) * 1000;
+    const peers = settings.seeds.map((s) => ({ name: s.host_name, address: s.peer_addr }));
+    this.mesh = new Mesh(
+      peers,
+      (request, reply) => {
+        this.owner.post(() => {
+          this.door.onMesh(request, reply);
+        });
+      },
+      log,
+    );
+    this.door = new UserDoor({
+      clock: this.clock,
+      log,
+      options,
+      store: this.store,
+      finals: this.finals,
+      teams: this.teams,
+      catalog: () => this.catalog,
+      leader: () => this.localLeader(),
+      askLeader: (request, timeoutMs) => {
+        const leader = this.election.leader();
+        if (leader === null || leader === settings.host_name) return Promise.resolve(null);
+        return this.mesh.ask(leader, request, timeoutMs);
+      },
+    });
+    this.election = new Election(
+      settings.host_name,
+      randomUUID(),
+      this.store,
+      this.clock,
+      Math.random,
+      { ttlMs: options.leadership.lease_ms, renewMs: options.leadership.renew_ms },
+      {
+        won: (leadership) => {
+          this.owner.post(() => void this.lead(leadership));
+        },
+        lost: () => {
+          this.leader?.stop();
+          this.leader = null;
+        },
+      },
+      log,
+    );
+    const limit = (initial: number, min: number, max: number): AdaptiveLimit =>
+      new AdaptiveLimit(now, { initial, min, max, slackMs: 300, tolerance: 4 });
+    this.userLimit = limit(64, options.http.users_min, options.http.users_max);
+    this.workerLimit = limit(128, options.http.workers_min, options.http.workers_max);
+  }
+
+  async start(): Promise<void> {
+    await this.mesh.listen(this.settings.mesh_addr);
+    await listen(this.settings.serve_on, (request, reply) => {
+      this.route(request, reply);
+    });
+    this.log.info({ on: this.settings.serve_on }, 'serving');
+    this.election.start();
+    void this.readCatalog();
+    setInterval(() => {
+      this.owner.post(() => undefined);
+    }, TICK_MS);
+  }
+
+  private async readCatalog(): Promise<void> {
+    for (let pauseMs = 300; !this.catalog; pauseMs = Math.min(3000, pauseMs * 2)) {
+      const types = await this.cloud.catalog();
+      if (types) this.catalog = new Catalog(types);
+      else await new Promise((resolve) => setTimeout(resolve, pauseMs));
+    }
+  }
+
+  // ---- leadership ----
+
+  private localLeader(): LocalLeader | null {
+    const leader = this.leader;
+    if (!leader) return null;
+    return {
+      status: (id) => leader.status(id),
+      cancel: (id, settled) => leader.cancel(id, settled),
+      created: (id, value) => {
+        leader.created(id, value);
+      },
+    };
+  }
+
+  private isCurrent(held: Leadership): boolean {
+    return this.election.current() === held;
+  }
+
+  private async lead(held: Leadership): Promise<void> {
+    const pause = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
+    while (!this.catalog && this.isCurrent(held)) await pause(50);
+    let fence = await this.store.get(KEYS.fence, 'lease');
+    while (fence.kind !== 'ok' && this.isCurrent(held)) {
+      await pause(150);
+      fence = await this.store.get(KEYS.fence, 'lease');
+    }
+    if (!this.isCurrent(held) || fence.kind !== 'ok') return;
+    const { state } = this.settings.settings;
+    const writer = new LeaderWriter(
+      {
+        txn: (conditions, changes) => this.store.txn(conditions, changes, 'lease'),
+        readFence: async () => {
+          const read = await this.store.get(KEYS.fence, 'lease');
+          return read.kind === 'ok' ? (read.value?.version ?? 0) : null;
+        },
+        lost: (reason) => {
+          this.election.stepDown(reason);
+        },
+        pause,
+      },
+      held.version,
+      fence.value?.version ?? 0,
+      { txnOps: state.txn_ops, bytes: 56 * 1024 },
+      new RateBudget(state.write_rps * 0.7, () => this.clock.now()),
+      this.log,
+    );
+    const leader = new Leader({
+      host: {
+        clock: this.clock,
+        log: this.log,
+        surelyLeading: () => this.isCurrent(held) && this.election.surelyLeading(),
+        order: (machine, commands) => this.workers.order(machine, held.term, commands),
+        inspect: (machine) => this.workers.inspect(machine),
+        final: (id, status) => {
+          this.finals.put(id, status);
+        },
+        isFinal: (id) => this.finals.get(id) !== undefined,
+        post: (command) => {
+          this.owner.post(command);
+        },
+        superseded: () => {
+          this.election.stepDown('a worker has seen a higher token');
+        },
+      },
+      settings: this.settings,
+      options: this.options,
+      teams: this.teams,
+      zones: this.zones,
+      catalog: this.catalog!,
+      cloud: this.cloud,
+      writer,
+      term: held.term,
+      graceMs: this.graceMs,
+    });
+    this.leader = leader;
+    let revision = -1;
+    while (this.isCurrent(held) && revision < 0) {
+      const open = await this.store.list(KEYS.openPrefix, 'lease');
+      const finished = await this.store.list(KEYS.finishedPrefix, 'lease');
+      const roster = await this.store.list(KEYS.machinePrefix, 'lease');
+      if (open.kind === 'ok' && finished.kind === 'ok' && roster.kind === 'ok') {
+        revision = open.value.revision;
+        this.owner.post(() => {
+          if (this.leader === leader) leader.load(open.value.items, finished.value.items, roster.value.items);
+        });
+      } else {
+        await pause(200);
+      }
+    }
+    await this.watchJobs(held, leader, revision);
+  }
+
+  private async watchJobs(held: Leadership, leader: Leader, from: number): Promise<void> {
+    let revision = from;
+    while (this.isCurrent(held)) {
+      const watched = await this.store.watch(KEYS.openPrefix, revision, 20_000);
+      if (!this.isCurrent(held)) return;
+      if (watched.kind === 'ok') {
+        revision = watched.value.revision;
+        const { events } = watched.value;
+        if (events.length > 0) {
+          this.owner.post(() => {
+            if (this.leader === leader) leader.onStoreEvents(events);
+          });
+        }
+        continue;
+      }
+      await new Promise((resolve) => setTimeout(resolve, 200));
+      if (watched.kind !== 'gone') continue;
+      const listed = await this.store.list(KEYS.openPrefix, 'lease');
+      if (listed.kind !== 'ok') continue;
+      revision = listed.value.revision;
+      const events = listed.value.items.map((i) => ({
+        key: i.key,
+        deleted: false,
+        value: i.value,
+        version: i.version,
+      }));
+      this.owner.post(() => {
+        if (this.leader === leader) leader.onStoreEvents(events);
+      });
+    }
+  }
+
+  // ---- the doors ----
+
+  private route(request: HttpRequest, reply: Reply): void {
+    const { method, path } = request;
+    if (path === '/checkin') {
+      if (method === 'POST') this.limited(this.workerLimit, reply, (r) => this.onReport(request.body, r));
+      else reply(failure(405, 'use POST'));
+      return;
+    }
+    if (path === '/healthz') {
+      // Ready once jobs can be decided. Troubles that all nodes share don't make a node unhealthy.
+      if (method !== 'GET') reply(failure(405, 'use GET'));
+      else reply(this.catalog ? { status: 200, body: '{}' } : failure(503, 'starting', 1));
+      return;
+    }
+    if (path === '/work') {
+      if (method !== 'POST') reply(failure(405, 'use POST'));
+      else this.limited(this.userLimit, reply, (r) => this.door.submit(request.body, r));
+      return;
+    }
+    const job = JOB_PATH.exec(path);
+    if (job) {
+      if (method !== 'GET') reply(failure(405, 'use GET'));
+      else this.limited(this.userLimit, reply, (r) => this.door.poll(job[1]!, r));
+      return;
+    }
+    const cancel = CANCEL_PATH.exec(path);
+    if (cancel) {
+      if (method !== 'POST') reply(failure(405, 'use POST'));
+      else this.limited(this.userLimit, reply, (r) => this.door.cancel(cancel[1]!, r));
+      return;
+    }
+    reply(failure(404, 'no such path'));
+  }
+
+  private limited(limit: AdaptiveLimit, reply: Reply, run: (reply: Reply) => void): void {
+    const leave = limit.enter();
+    if (!leave) {
+      reply(failure(503, 'too many requests in progress', this.options.users.retry_after_s));
+      return;
+    }
+    this.owner.post(() => {
+      run((answer) => {
+        leave();
+        reply(answer);
+      });
+    });
+  }
+
+  private onReport(body: string, reply: Reply): void {
+    const decoded = decodeReport(body);
+    if (!decoded.ok) {
+      this.log.error({ reason: decoded.reason }, 'malformed report');
+      reply(failure(400, decoded.reason));
+      return;
+    }
+    const leader = this.leader;
+    if (!leader) {
+      const known = this.election.leader();
+      reply({ status: 421, body: encodeReportTo(known === this.settings.host_name ? null : known) });
+      return;
+    }
+    // While the lease is not sure, work is kept alive for a bounded time; nothing new starts.
+    if (this.election.unsureForMs() > this.graceMs) {
+      reply({ status: 421, body: encodeReportTo(null) });
+      return;
+    }
+    const commands = leader.onReport(decoded.value);
+    if (commands === null) reply({ status: 421, body: encodeReportTo(null) });
+    else reply({ status: 200, body: encodeReportAnswer(leader.term, commands) });
+  }
+}
--- /dev/null
+++ b/src/fleet/cloud.ts
@@ -0,0 +1,92 @@
+import type { Logger } from '../core/log.ts';
+import { HttpClient } from '../http/client.ts';
+import { RateBudget } from '../store/budget.ts';
+import * as wire from '../wire/cloud.ts';
+
+export type RentResult =
+  | { kind: 'rented'; names: string[] }
+  | { kind: 'no_capacity' }
+  | { kind: 'refused' }
+  /** It may have been carried out; repeating it with the same name tells. */
+  | { kind: 'unknown' };
+
+const TIMEOUT_MS = 4000;
+const LIST_PAGE = 500;
+
+/** The cloud by its published protocol, within its request rate. */
+export class CloudClient {
+  private readonly http: HttpClient;
+  private readonly budget: RateBudget;
+
+  constructor(
+    address: string,
+    rps: number,
+    now: () => number,
+    private readonly log: Logger,
+  ) {
+    this.http = new HttpClient(address, 6);
+    // A fifth is left to the other controllers, which read the catalog when they start.
+    this.budget = new RateBudget(rps * 0.8, now);
+  }
+
+  /** True if a call can be made now without going over the rate. */
+  ready(reserve = 0): boolean {
+    return this.budget.waitMs(1 + reserve) === 0;
+  }
+
+  async catalog(): Promise<wire.MachineTypeInfo[] | null> {
+    this.budget.take();
+    const result = await this.http.send('GET', wire.CLOUD_PATHS.types, null, TIMEOUT_MS);
+    if (result.kind !== 'answer' || result.status !== 200) return null;
+    const decoded = wire.decodeCatalog(result.body);
+    if (decoded.ok && decoded.value.length > 0) return decoded.value;
+    this.log.error({ reason: decoded.ok ? 'empty' : decoded.reason }, 'cloud: malformed catalog');
+    return null;
+  }
+
+  async rent(request: wire.RentRequest): Promise<RentResult> {
+    this.budget.take();
+    const body = wire.encodeRent(request);
+    const result = await this.http.send('POST', wire.CLOUD_PATHS.rent, body, TIMEOUT_MS);
+    if (result.kind === 'silent') return result.sent ? { kind: 'unknown' } : { kind: 'refused' };
+    if (result.status === 503 && wire.isNoCapacity(result.body)) return { kind: 'no_capacity' };
+    if (result.status !== 200) return { kind: 'refused' };
+    const decoded = wire.decodeRented(result.body);
+    if (decoded.ok) return { kind: 'rented', names: decoded.value };
+    this.log.error({ reason: decoded.reason }, 'cloud: malformed answer to a rental');
+    return { kind: 'unknown' };
+  }
+
+  /** True: the machines and everything on them are gone. */
+  async giveBack(names: readonly string[]): Promise<boolean> {
+    this.budget.take();
+    const result = await this.http.send(
+      'POST',
+      wire.CLOUD_PATHS.returned,
+      wire.encodeReturn(names),
+      TIMEOUT_MS,
+    );
+    return result.kind === 'answer' && result.status === 200;
+  }
+
+  /** All machines listed, or null if any page could not be read. */
+  async list(): Promise<wire.ListedMachine[] | null> {
+    const machines: wire.ListedMachine[] = [];
+    let after = '';
+    for (;;) {
+      this.budget.take();
+      const path = wire.CLOUD_PATHS.list(after, LIST_PAGE);
+      const result = await this.http.send('GET', path, null, TIMEOUT_MS);
+      if (result.kind !== 'answer' || result.status !== 200) return null;
+      const decoded = wire.decodeMachineList(result.body);
+      if (!decoded.ok) {
+        this.log.error({ reason: decoded.reason }, 'cloud: malformed machine list');
+        return null;
+      }
+      machines.push(...decoded.value.machines);
+      const last = decoded.value.machines.at(-1);
+      if (!decoded.value.more || !last) return machines;
+      after = last.name;
+    }
+  }
+}
--- /dev/null
+++ b/src/fleet/fleet.ts
@@ -0,0 +1,292 @@
+import type { Clock } from '../core/clock.ts';
+import type { Intern } from '../core/intern.ts';
+import type { Logger } from '../core/log.ts';
+import type { Options } from '../config/options.ts';
+import type { OptionView } from '../scheduling/view.ts';
+import type { Catalog } from './catalog.ts';
+import type { CloudClient } from './cloud.ts';
+
+export interface FleetDeps {
+  clock: Clock;
+  log: Logger;
+  cloud: CloudClient;
+  catalog: Catalog;
+  zones: Intern;
+  options: Options;
+  term: number;
+  listLagS: number;
+  post(command: () => void): void;
+  returning(names: readonly string[]): void;
+  gone(names: readonly string[]): void;
+}
+
+interface RentOption {
+  index: number;
+  type: number;
+  zone: number;
+  spot: boolean;
+  /** Refused lately: not asked for again before this. */
+  notBefore: number;
+  refusals: number;
+  asking: number;
+}
+
+interface Booting {
+  index: number;
+  name: string;
+  type: number;
+  zone: number;
+  spot: boolean;
+  rentedAt: number;
+}
+
+export interface IdleMachine {
+  name: string;
+  type: number;
+  zone: number;
+  spot: boolean;
+  idleMs: number;
+}
+
+const RENT_MAX = 50;
+const RETURN_MAX = 100;
+
+/** Rents and returns machines: what was asked of the cloud, what is booting, what is on its way back. */
+export class Fleet {
+  private readonly options: RentOption[] = [];
+  private readonly bootingByName = new Map<string, Booting>();
+  private bootIndex = 0;
+  private requestCount = 0;
+  private readonly returning = new Map<string, number>();
+  private returnBusy = false;
+  private readonly returned = new Map<string, number>();
+  private listBusy = false;
+  private lastListAt: number;
+  private lastCatalogAt: number;
+
+  constructor(private readonly deps: FleetDeps) {
+    this.lastListAt = deps.clock.now();
+    this.lastCatalogAt = deps.clock.now();
+    deps.catalog.types.forEach((type, t) => {
+      for (const zone of type.zones) {
+        for (const spot of [false, true]) {
+          this.options.push({
+            index: this.options.length,
+            type: t,
+            zone: deps.zones.index(zone),
+            spot,
+            notBefore: -Infinity,
+            refusals: 0,
+            asking: 0,
+          });
+        }
+      }
+    });
+  }
+
+  booting(): Iterable<Booting> {
+    return [...this.bootingByName.values()].filter((b) => !this.returning.has(b.name));
+  }
+
+  /** Options of the flow graph: machines that could be rented now. */
+  rentable(): OptionView[] {
+    const now = this.deps.clock.now();
+    const views: OptionView[] = [];
+    for (const o of this.options) {
+      if (now < o.notBefore || o.asking > 0) continue;
+      const type = this.deps.catalog.types[o.type]!;
+      views.push({
+        option: o.index,
+        type: o.type,
+        zone: o.zone,
+        spot: o.spot,
+        size: { cpus: type.cpus, gpus: type.gpus, memory: type.memory },
+        max: this.deps.options.fleet.rent_at_once,
+        price: o.spot ? type.spotPrice : type.price,
+        bootS: type.bootS,
+        fetchGbPerS: type.fetchGbPerS,
+      });
+    }
+    return views;
+  }
+
+  /** Takes the round's wishes. What can't be asked for now is wished for again by the next round. */
+  want(rents: ReadonlyMap<number, number>): void {
+    for (const [index, count] of rents) {
+      const option = this.options[index];
+      if (!option || option.asking > 0 || count <= 0) continue;
+      if (!this.deps.cloud.ready(1)) return;
+      void this.rent(option, Math.min(count, RENT_MAX));
+    }
+  }
+
+  private async rent(option: RentOption, count: number): Promise<void> {
+    const { clock, cloud, catalog, zones, log, term } = this.deps;
+    this.requestCount += 1;
+    // Names carry the term and a counter: no other leadership ever uses them.
+    const request = `pw-${term}-${this.requestCount}`;
+    const rental = {
+      request,
+      machineType: catalog.types[option.type]!.name,
+      zone: zones.name(option.zone),
+      spot: option.spot,
+      count,
+    };
+    option.asking = count;
+    log.info(rental, 'renting');
+    for (let attempt = 0; attempt < 5; attempt++) {
+      const rentedAt = clock.now();
+      const result = await cloud.rent(rental);
+      if (result.kind === 'rented') {
+        this.deps.post(() => {
+          option.refusals = 0;
+          option.asking = 0;
+          for (const name of result.names) this.addBooting(name, option, rentedAt);
+          if (result.names.length < count) this.backOff(option, 'partly filled');
+        });
+        return;
+      }
+      if (result.kind === 'no_capacity' || (result.kind === 'refused' && attempt > 0)) {
+        this.deps.post(() => {
+          option.asking = 0;
+          this.backOff(option, result.kind);
+        });
+        return;
+      }
+      // Not known whether it was carried out: the same name again tells, and rents nothing twice.
+      await new Promise((resolve) => setTimeout(resolve, 700 * (attempt + 1)));
+    }
+    this.deps.post(() => {
+      option.asking = 0;
+      this.backOff(option, 'no answer');
+    });
+  }
+
+  private addBooting(
+    name: string,
+    place: { type: number; zone: number; spot: boolean },
+    rentedAt: number,
+  ): void {
+    const { type, zone, spot } = place;
+    this.bootingByName.set(name, { index: this.bootIndex++, name, type, zone, spot, rentedAt });
+  }
+
+  private backOff(option: RentOption, reason: string): void {
+    const { refusal_pause_s, refusal_pause_max_s } = this.deps.options.fleet;
+    const pause = Math.min(refusal_pause_max_s, refusal_pause_s * 2 ** Math.min(6, option.refusals));
+    option.refusals += 1;
+    option.notBefore = this.deps.clock.now() + pause * 1000;
+    this.deps.log.info(
+      {
+        type: this.deps.catalog.types[option.type]?.name,
+        zone: this.deps.zones.name(option.zone),
+        spot: option.spot,
+        reason,
+        pause,
+      },
+      'rental backed off',
+    );
+  }
+
+  /** The worker of this machine has reported. */
+  up(name: string): void {
+    this.bootingByName.delete(name);
+  }
+
+  wasReturned(name: string): boolean {
+    return this.returned.has(name);
+  }
+
+  giveBack(names: readonly string[]): void {
+    for (const name of names) if (!this.returning.has(name)) this.returning.set(name, 0);
+    this.deps.returning(names);
+  }
+
+  /** Gives idle machines back. */
+  spare(idle: readonly IdleMachine[], waiting: boolean): void {
+    const limit = this.deps.options.fleet.idle_s * 1000 * (waiting ? 1.5 : 1);
+    const names = idle.filter((m) => m.idleMs > limit).map((m) => m.name);
+    if (names.length === 0) return;
+    this.deps.log.info({ machines: names }, 'idle machines, returned');
+    this.giveBack(names);
+  }
+
+  tick(): void {
+    const now = this.deps.clock.now();
+    for (const b of this.bootingByName.values()) {
+      const bootS = this.deps.catalog.types[b.type]?.bootS ?? 60;
+      const patience = (bootS * this.deps.options.fleet.boot_patience + 15) * 1000;
+      if (now - b.rentedAt > patience && !this.returning.has(b.name)) {
+        this.deps.log.info({ machine: b.name }, 'machine never came up, returned');
+        this.giveBack([b.name]);
+      }
+    }
+    if (this.returning.size > 0 && !this.returnBusy && this.deps.cloud.ready()) void this.sendReturns();
+    if (now - this.lastCatalogAt > 60_000 && this.deps.cloud.ready(1)) {
+      this.lastCatalogAt = now;
+      void this.refreshPrices();
+    }
+  }
+
+  private async refreshPrices(): Promise<void> {
+    const fresh = await this.deps.cloud.catalog();
+    if (!fresh) return;
+    this.deps.post(() => {
+      for (const type of fresh) {
+        const known = this.deps.catalog.types.find((t) => t.name === type.name);
+        if (known) Object.assign(known, { price: type.price, spotPrice: type.spotPrice });
+      }
+    });
+  }
+
+  private async sendReturns(): Promise<void> {
+    this.returnBusy = true;
+    const now = this.deps.clock.now();
+    const names = [...this.returning].filter(([, after]) => now >= after).map(([name]) => name);
+    const batch = names.slice(0, RETURN_MAX);
+    const done = batch.length > 0 && (await this.deps.cloud.giveBack(batch));
+    this.deps.post(() => {
+      this.returnBusy = false;
+      for (const name of batch) {
+        if (!done) {
+          this.returning.set(name, this.deps.clock.now() + 1000);
+          continue;
+        }
+        this.returning.delete(name);
+        this.bootingByName.delete(name);
+        this.returned.set(name, this.deps.clock.now());
+      }
+      if (done) this.deps.gone(batch);
+    });
+  }
+
+  /** Reads the machine list now and then, to find machines that nobody here knows of. */
+  syncList(known: ReadonlySet<string>): void {
+    const now = this.deps.clock.now();
+    if (this.listBusy || now - this.lastListAt < this.deps.options.fleet.list_s * 1000) return;
+    if (!this.deps.cloud.ready(1)) return;
+    this.lastListAt = now;
+    this.listBusy = true;
+    void this.deps.cloud.list().then((machines) => {
+      this.deps.post(() => {
+        this.listBusy = false;
+        if (!machines) return;
+        const at = this.deps.clock.now();
+        for (const m of machines) {
+          // The list lags, so what was returned lately may still stand in it.
+          if (this.returned.has(m.name) || this.returning.has(m.name)) continue;
+          if (m.state === 'failed') {
+            this.giveBack([m.name]);
+          } else if (!known.has(m.name) && !this.bootingByName.has(m.name)) {
+            const type = this.deps.catalog.typeIndex(m.machineType);
+            const place = { type, zone: this.deps.zones.index(m.zone), spot: m.spot };
+            this.deps.log.info({ machine: m.name, state: m.state }, 'unexpected machine in the list');
+            if (type < 0) this.giveBack([m.name]);
+            else this.addBooting(m.name, place, Math.min(at, at - m.ageS * 1000));
+          }
+        }
+        for (const [name, when] of this.returned) if (at - when > 300_000) this.returned.delete(name);
+      });
+    });
+  }
+}
--- /dev/null
+++ b/src/http/client.ts
@@ -0,0 +1,86 @@
+import { Agent, request } from 'node:http';
+
+export type HttpResult =
+  | { kind: 'answer'; status: number; body: string; retryAfterS: number | null }
+  /** Nothing came back in time, or the connection failed. `sent` is false only when it can't have arrived. */
+  | { kind: 'silent'; sent: boolean; reason: string };
+
+const MAX_BODY = 64 * 1024 * 1024;
+
+export function keepAliveAgent(socketsPerHost: number): Agent {
+  return new Agent({
+    keepAlive: true,
+    maxSockets: socketsPerHost,
+    maxFreeSockets: socketsPerHost,
+    noDelay: true,
+  });
+}
+
+/** One host and port, with kept-alive connections. Requests are never repeated here. */
+export class HttpClient {
+  private readonly agent: Agent;
+  private readonly host: string;
+  private readonly port: number;
+
+  /** `via`: an agent shared with other hosts, or how many sockets this host may have. */
+  constructor(address: string, via: Agent | number) {
+    const colon = address.lastIndexOf(':');
+    this.host = address.slice(0, colon);
+    this.port = Number(address.slice(colon + 1));
+    this.agent = typeof via === 'number' ? keepAliveAgent(via) : via;
+  }
+
+  send(method: string, path: string, body: string | null, timeoutMs: number): Promise<HttpResult> {
+    return new Promise((resolve) => {
+      let settled = false;
+      const finish = (result: HttpResult): void => {
+        if (settled) return;
+        settled = true;
+        clearTimeout(timer);
+        resolve(result);
+      };
+      const headers: Record<string, string | number> = {};
+      if (body !== null) {
+        headers['content-type'] = 'application/json';
+        headers['content-length'] = Buffer.byteLength(body);
+      }
+      const req = request(
+        { host: this.host, port: this.port, method, path, headers, agent: this.agent },
+        (res) => {
+          const chunks: Buffer[] = [];
+          let size = 0;
+          res.on('data', (chunk: Buffer) => {
+            size += chunk.length;
+            if (size > MAX_BODY) req.destroy(new Error('answer too long'));
+            else chunks.push(chunk);
+          });
+          res.on('end', () => {
+            const after = Number(res.headers['retry-after']);
+            finish({
+              kind: 'answer',
+              status: res.statusCode ?? 0,
+              body: Buffer.concat(chunks).toString('utf8'),
+              retryAfterS: Number.isFinite(after) && after > 0 ? after : null,
+            });
+          });
+          res.on('error', (error: Error) => {
+            finish({ kind: 'silent', sent: true, reason: error.message });
+          });
+        },
+      );
+      const timer = setTimeout(() => {
+        finish({ kind: 'silent', sent: true, reason: 'no answer in time' });
+        req.destroy();
+      }, timeoutMs);
+      req.on('error', (error: NodeJS.ErrnoException) => {
+        finish({ kind: 'silent', sent: error.code !== 'ECONNREFUSED', reason: error.code ?? error.message });
+      });
+      if (body !== null) req.write(body);
+      req.end();
+    });
+  }
+
+  close(): void {
+    this.agent.destroy();
+  }
+}
--- /dev/null
+++ b/src/jobs/job.ts
@@ -0,0 +1,145 @@
+import type { JobRequest, JobStatus } from '../wire/user.ts';
+
+export const PENDING = 0;
+export const ASSIGNED = 1;
+/** Done, but not yet durable. */
+export const DONE = 2;
+export const DURABLE = 3;
+
+/** Finished tasks are kept in the store in chunks of this many bits. */
+export const CHUNK_TASKS = 4096;
+
+/** A job as the leader knows it. Work on it goes by counts and short lists, never over all its tasks. */
+export class Job {
+  readonly state: Uint8Array;
+  /** Next task that was never assigned; tasks below it that came back are in `returned`. */
+  private next = 0;
+  private returned: number[] = [];
+  pendingCount: number;
+  doneCount = 0;
+  durableCount = 0;
+  /** Tasks reported as running. */
+  running = 0;
+  /** Chunks with finished tasks that are not durable yet. */
+  readonly dirtyChunks = new Set<number>();
+  /** Chunks that have a record in the store. */
+  readonly storedChunks = new Set<number>();
+  /** Set once the job is to end; no task starts from then on. */
+  ending: 'done' | 'cancelled' | null = null;
+  /** Called with the final state once it is durable. */
+  readonly whenFinal: (() => void)[] = [];
+  final: 'done' | 'cancelled' | null = null;
+  /** Failures in a row without a task done: a job that fails everywhere must not burn machines. */
+  failures = 0;
+  notBefore = 0;
+  /** Machines (by index) on which a task of this job failed. */
+  readonly avoid = new Set<number>();
+  /** When the job began to wait, on the steady clock; moves on whenever a task is placed. */
+  waitingSince: number;
+
+  constructor(
+    readonly spec: JobRequest,
+    readonly team: number,
+    readonly createdWall: number,
+    /** Existed when this leader took over: its tasks may run on machines not heard yet. */
+    readonly inherited: boolean,
+    now: number,
+  ) {
+    this.state = new Uint8Array(spec.tasks);
+    this.pendingCount = spec.tasks;
+    this.waitingSince = now;
+  }
+
+  get id(): string {
+    return this.spec.id;
+  }
+
+  /** Takes the next pending task, or -1. */
+  takePending(): number {
+    while (this.returned.length > 0) {
+      const task = this.returned.pop()!;
+      if (this.state[task] === PENDING) return this.assign(task);
+    }
+    while (this.next < this.spec.tasks) {
+      const task = this.next++;
+      if (this.state[task] === PENDING) return this.assign(task);
+    }
+    return -1;
+  }
+
+  /** Assigns a certain task, found running after a takeover. */
+  adopt(task: number): boolean {
+    if (this.state[task] !== PENDING) return false;
+    this.assign(task);
+    return true;
+  }
+
+  private assign(task: number): number {
+    this.state[task] = ASSIGNED;
+    this.pendingCount -= 1;
+    return task;
+  }
+
+  /** A task that was assigned is surely nowhere any more. */
+  giveBack(task: number, now: number): void {
+    if (this.state[task] !== ASSIGNED) return;
+    this.state[task] = PENDING;
+    this.pendingCount += 1;
+    if (this.pendingCount === 1) this.waitingSince = now;
+    this.returned.push(task);
+  }
+
+  markDone(task: number): boolean {
+    const state = this.state[task];
+    if (state === undefined || state >= DONE) return false;
+    if (state === PENDING) this.pendingCount -= 1;
+    this.state[task] = DONE;
+    this.doneCount += 1;
+    this.failures = 0;
+    this.dirtyChunks.add(Math.floor(task / CHUNK_TASKS));
+    return true;
+  }
+
+  markChunkDurable(chunk: number, bits: Uint8Array): void {
+    this.storedChunks.add(chunk);
+    const from = chunk * CHUNK_TASKS;
+    const to = Math.min(this.spec.tasks, from + CHUNK_TASKS);
+    for (let task = from; task < to; task++) {
+      const at = task - from;
+      const set = ((bits[at >> 3] ?? 0) & (1 << (at & 7))) !== 0;
+      const before = this.state[task]!;
+      if (!set || before === DURABLE) continue;
+      if (before === PENDING) this.pendingCount -= 1;
+      if (before < DONE) this.doneCount += 1;
+      this.state[task] = DURABLE;
+      this.durableCount += 1;
+    }
+  }
+
+  chunkBits(chunk: number): Uint8Array {
+    const from = chunk * CHUNK_TASKS;
+    const to = Math.min(this.spec.tasks, from + CHUNK_TASKS);
+    const bits = new Uint8Array(Math.ceil((to - from) / 8));
+    for (let task = from; task < to; task++) {
+      if (this.state[task]! >= DONE) bits[(task - from) >> 3]! |= 1 << ((task - from) & 7);
+    }
+    return bits;
+  }
+
+  isDurable(task: number): boolean {
+    return this.final === 'done' || this.state[task] === DURABLE;
+  }
+
+  get allDone(): boolean {
+    return this.doneCount === this.spec.tasks;
+  }
+
+  status(): JobStatus {
+    if (this.final) return { stage: this.final, done: this.doneCount, running: 0 };
+    return {
+      stage: this.running > 0 ? 'running' : 'pending',
+      done: this.durableCount,
+      running: this.running,
+    };
+  }
+}
--- /dev/null
+++ b/src/jobs/records.ts
@@ -0,0 +1,35 @@
+import * as z from 'zod/mini';
+import { decodeStoredJob, type JobRequest, type JobStatus } from '../wire/user.ts';
+
+const openRecord = z.object({ at: z.number(), job: z.unknown() });
+const finalRecord = z.object({ s: z.enum(['done', 'cancelled']), n: z.int() });
+const chunkRecord = z.object({ b: z.string() });
+
+export function openValue(job: JobRequest, wall: number): unknown {
+  return { at: wall, job: job.stored };
+}
+
+export function readOpen(value: unknown): { job: JobRequest; createdWall: number } | null {
+  const record = openRecord.safeParse(value);
+  if (!record.success) return null;
+  const job = decodeStoredJob(record.data.job);
+  return job.ok ? { job: job.value, createdWall: record.data.at } : null;
+}
+
+export function finalValue(stage: 'done' | 'cancelled', done: number): unknown {
+  return { s: stage, n: done };
+}
+
+export function readFinal(value: unknown): JobStatus | null {
+  const record = finalRecord.safeParse(value);
+  return record.success ? { stage: record.data.s, done: record.data.n, running: 0 } : null;
+}
+
+export function chunkValue(bits: Uint8Array): unknown {
+  return { b: Buffer.from(bits).toString('base64') };
+}
+
+export function readChunk(value: unknown): Uint8Array | null {
+  const record = chunkRecord.safeParse(value);
+  return record.success ? Buffer.from(record.data.b, 'base64') : null;
+}
--- /dev/null
+++ b/src/mesh/frames.ts
@@ -0,0 +1,148 @@
+import avro from 'avsc';
+
+/** What controllers ask each other. A follower hands a user's request to the leader and returns its answer. */
+export type MeshRequest =
+  | { kind: 'poll'; jobId: string }
+  | { kind: 'cancel'; jobId: string }
+  | { kind: 'submit'; jobId: string; body: string };
+
+export type MeshStage = 'pending' | 'running' | 'done' | 'cancelled';
+
+/** `unable`: the asked node can't decide now. `unknown`: it doesn't know the job and hasn't looked further. */
+export type MeshReply =
+  | { kind: 'status'; created: boolean; stage: MeshStage; done: number; running: number }
+  | { kind: 'refused'; status: number; reason: string }
+  | { kind: 'unknown' }
+  | { kind: 'unable' };
+
+export type MeshFrame =
+  { id: number; request: MeshRequest; reply: null } | { id: number; request: null; reply: MeshReply };
+
+const frameType = avro.Type.forSchema({
+  type: 'record',
+  name: 'Frame',
+  fields: [
+    { name: 'id', type: 'long' },
+    {
+      name: 'request',
+      type: [
+        'null',
+        {
+          type: 'record',
+          name: 'Request',
+          fields: [
+            {
+              name: 'kind',
+              type: { type: 'enum', name: 'RequestKind', symbols: ['poll', 'cancel', 'submit'] },
+            },
+            { name: 'jobId', type: 'string' },
+            { name: 'body', type: 'string' },
+          ],
+        },
+      ],
+    },
+    {
+      name: 'reply',
+      type: [
+        'null',
+        {
+          type: 'record',
+          name: 'Reply',
+          fields: [
+            {
+              name: 'kind',
+              type: {
+                type: 'enum',
+                name: 'ReplyKind',
+                symbols: ['status', 'refused', 'unknown', 'unable'],
+              },
+            },
+            { name: 'created', type: 'boolean' },
+            {
+              name: 'stage',
+              type: {
+                type: 'enum',
+                name: 'Stage',
+                symbols: ['pending', 'running', 'done', 'cancelled'],
+              },
+            },
+            { name: 'done', type: 'int' },
+            { name: 'running', type: 'int' },
+            { name: 'status', type: 'int' },
+            { name: 'reason', type: 'string' },
+          ],
+        },
+      ],
+    },
+  ],
+});
+
+interface RawFrame {
+  id: number;
+  request: { kind: MeshRequest['kind']; jobId: string; body: string } | null;
+  reply: {
+    kind: MeshReply['kind'];
+    created: boolean;
+    stage: MeshStage;
+    done: number;
+    running: number;
+    status: number;
+    reason: string;
+  } | null;
+}
+
+const NO_REPLY = { created: false, stage: 'pending', done: 0, running: 0, status: 0, reason: '' } as const;
+
+/** Frames are a 4-byte length and the record. Jobs are at most 64 KiB, so anything longer is not ours. */
+export const MAX_FRAME = 128 * 1024;
+
+export function encodeFrame(frame: MeshFrame): Buffer {
+  const raw: RawFrame = {
+    id: frame.id,
+    request: frame.request ? { body: '', ...frame.request } : null,
+    reply: frame.reply ? { ...NO_REPLY, ...frame.reply } : null,
+  };
+  const body = frameType.toBuffer(raw);
+  const head = Buffer.allocUnsafe(4);
+  head.writeUInt32BE(body.length);
+  return Buffer.concat([head, body]);
+}
+
+function decodeBody(body: Buffer): MeshFrame {
+  const raw = frameType.fromBuffer(body) as RawFrame;
+  const { id, request, reply } = raw;
+  if (request && !reply) {
+    return request.kind === 'submit'
+      ? { id, request: { kind: 'submit', jobId: request.jobId, body: request.body }, reply: null }
+      : { id, request: { kind: request.kind, jobId: request.jobId }, reply: null };
+  }
+  if (!reply || request) throw new Error('neither request nor reply');
+  switch (reply.kind) {
+    case 'status': {
+      const { created, stage, done, running } = reply;
+      return { id, request: null, reply: { kind: 'status', created, stage, done, running } };
+    }
+    case 'refused':
+      return { id, request: null, reply: { kind: 'refused', status: reply.status, reason: reply.reason } };
+    default:
+      return { id, request: null, reply: { kind: reply.kind } };
+  }
+}
+
+/** Cuts a byte stream into frames. Throws on a frame that is too long or doesn't decode. */
+export class FrameReader {
+  private pending: Buffer = Buffer.alloc(0);
+
+  push(chunk: Buffer): MeshFrame[] {
+    this.pending = this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
+    const frames: MeshFrame[] = [];
+    while (this.pending.length >= 4) {
+      const length = this.pending.readUInt32BE(0);
+      if (length > MAX_FRAME) throw new Error(`frame of ${length} bytes`);
+      if (this.pending.length < 4 + length) break;
+      frames.push(decodeBody(this.pending.subarray(4, 4 + length)));
+      this.pending = this.pending.subarray(4 + length);
+    }
+    return frames;
+  }
+}
--- /dev/null
+++ b/src/scheduling/preempt.ts
@@ -0,0 +1,83 @@
+import {
+  fits,
+  takeRoom,
+  teamFits,
+  type GroupView,
+  type MachineView,
+  type Room,
+  type TeamRoom,
+} from './view.ts';
+
+export interface VictimView<T> {
+  item: T;
+  priority: number;
+  team: number;
+  /** Its job is run in excess of its own team's guarantee. */
+  beyondGuarantee: boolean;
+  stopping: boolean;
+  need: Room;
+  gang: boolean;
+  /** Seconds of work that stopping it loses. */
+  lossS: number;
+}
+
+/** May this task be stopped for that group? By rank, or to give a team its guarantee. */
+export function mayPreempt(group: GroupView, victim: VictimView<unknown>): boolean {
+  if (victim.priority < group.priority) return true;
+  return group.guaranteed && victim.beyondGuarantee && victim.team !== group.team;
+}
+
+/**
+ * Picks the tasks to stop so that a group finds room, on the machines where least is lost. Room that is
+ * already being made counts first, so that a round that comes while tasks save doesn't stop more.
+ */
+export function pickVictims<T>(
+  group: GroupView,
+  waiting: number,
+  machines: readonly MachineView[],
+  victimsOn: (machine: number) => VictimView<T>[],
+  teamRoom: readonly TeamRoom[],
+): T[] {
+  let want = Math.min(waiting, teamFits(group.need, teamRoom[group.team]!));
+  if (group.gang && want < group.pending) return [];
+  const plans: { items: T[]; count: number; loss: number; zone: number }[] = [];
+  for (const m of machines) {
+    if (m.bootsInS > 0 || group.avoid.has(m.machine)) continue;
+    if (m.spot && !group.spot) continue;
+    if (group.zone >= 0 && group.zone !== m.zone) continue;
+    if (group.types && !group.types.has(m.type)) continue;
+    const free = { ...m.free };
+    const victims = victimsOn(m.machine);
+    for (const v of victims) if (v.stopping) takeRoom(free, v.need, -1);
+    const already = fits(group.need, free);
+    if (already > 0) {
+      // Free room, or room that is being made: the next rounds will use it.
+      want -= Math.min(want, already);
+      continue;
+    }
+    const candidates = victims.filter((v) => !v.stopping && mayPreempt(group, v));
+    candidates.sort((a, b) => a.priority - b.priority || a.lossS - b.lossS);
+    const items: T[] = [];
+    let loss = 0;
+    for (const v of candidates) {
+      if (fits(group.need, free) > 0) break;
+      takeRoom(free, v.need, -1);
+      items.push(v.item);
+      loss += v.lossS + 2;
+    }
+    const count = fits(group.need, free);
+    if (count > 0 && items.length > 0) plans.push({ items, count, loss, zone: m.zone });
+  }
+  if (want <= 0) return [];
+  plans.sort((a, b) => a.loss / a.count - b.loss / b.count);
+  const chosen: T[] = [];
+  const zone = group.oneZone ? plans[0]?.zone : undefined;
+  for (const plan of plans) {
+    if (want <= 0) break;
+    if (zone !== undefined && plan.zone !== zone) continue;
+    chosen.push(...plan.items);
+    want -= plan.count;
+  }
+  // A gang gains nothing from room for a part of it.
+  return group.gang && want > 0 ? [] : chosen;
+}
--- /dev/null
+++ b/src/scheduling/view.ts
@@ -0,0 +1,107 @@
+/** What a round sees. Everything is a dense index; no slice's own objects reach the graph. */
+export interface Room {
+  cpus: number;
+  gpus: number;
+  memory: number;
+}
+
+export interface GroupView {
+  job: number;
+  team: number;
+  /** Tasks to place; for a gang all of them. */
+  pending: number;
+  gang: boolean;
+  priority: number;
+  need: Room;
+  /** Allowed machine types by index, or null. */
+  types: Set<number> | null;
+  /** The only allowed zone, or -1. */
+  zone: number;
+  spot: boolean;
+  oneZone: boolean;
+  /** With `spread`: how many tasks may be in one zone. */
+  zoneCap: number;
+  /** Tasks of the job that are or may be on machines, by zone. */
+  liveByZone: Map<number, number>;
+  waitedMs: number;
+  image: string;
+  imageGb: number;
+  avoid: ReadonlySet<number>;
+  /** True while the job fits its team's guarantee together with the team's earlier unfinished jobs. */
+  guaranteed: boolean;
+}
+
+export interface MachineView {
+  machine: number;
+  type: number;
+  zone: number;
+  spot: boolean;
+  free: Room;
+  /** Tasks on it. */
+  load: number;
+  /** 0 for a machine that is up; else seconds until it is expected. */
+  bootsInS: number;
+  hasImage: (image: string) => boolean;
+  fetchGbPerS: number;
+  /** Extra cost in steps, for machines known as slow or faulty. */
+  penalty: number;
+  price: number;
+}
+
+export interface OptionView {
+  option: number;
+  type: number;
+  zone: number;
+  spot: boolean;
+  size: Room;
+  /** Machines that may be rented in this round. */
+  max: number;
+  price: number;
+  bootS: number;
+  fetchGbPerS: number;
+}
+
+export interface TeamRoom {
+  cpus: number;
+  gpus: number;
+}
+
+export interface Placement {
+  job: number;
+  machine: number;
+  count: number;
+}
+
+export interface RoundResult {
+  placements: Placement[];
+  /** Machines wanted by option. */
+  rents: Map<number, number>;
+  /** Tasks by job that wait for machines still booting. */
+  awaiting: Map<number, number>;
+  /** Tasks by job that found no place at all. */
+  unplaced: Map<number, number>;
+  /** Machines kept free for a job that waits long. */
+  reserved: Map<number, number>;
+  cut: boolean;
+}
+
+const EPSILON = 1e-6;
+
+export function fits(need: Room, free: Room): number {
+  let count = Infinity;
+  if (need.cpus > 0) count = Math.min(count, (free.cpus + EPSILON) / need.cpus);
+  if (need.gpus > 0) count = Math.min(count, (free.gpus + EPSILON) / need.gpus);
+  if (need.memory > 0) count = Math.min(count, (free.memory + EPSILON) / need.memory);
+  return count === Infinity ? 1000 : Math.max(0, Math.floor(count));
+}
+
+export function takeRoom(free: Room, need: Room, count = 1): void {
+  free.cpus -= need.cpus * count;
+  free.gpus -= need.gpus * count;
+  free.memory -= need.memory * count;
+}
+
+/** How many tasks a team's limit still takes. */
+export function teamFits(need: Room, room: TeamRoom): number {
+  return fits({ ...need, memory: 0 }, { ...room, memory: 0 });
+}
--- /dev/null
+++ b/src/store/client.ts
@@ -0,0 +1,147 @@
+import { HttpClient, type HttpResult } from '../http/client.ts';
+import type { Logger } from '../core/log.ts';
+import type { Decoded } from '../wire/amounts.ts';
+import * as wire from '../wire/state.ts';
+import { RateBudget } from './budget.ts';
+
+/** What came of a call. `unknown`: it may have been carried out, or may be later. `refused`: it was not. */
+export type StoreResult<T> = { kind: 'ok'; value: T } | { kind: 'refused' } | { kind: 'unknown' };
+export type TxnResult =
+  | { kind: 'ok'; revision: number }
+  | { kind: 'conflict'; failed: string[] }
+  | { kind: 'no_lease' }
+  | { kind: 'refused' }
+  | { kind: 'unknown' };
+
+/** How urgent a call is: each less urgent kind leaves permits in the budget for the ones before it. */
+export type Urgency = 'lease' | 'user' | 'background';
+const RESERVE: Record<Urgency, number> = { lease: 0, user: 0.1, background: 0.35 };
+
+const READ_TIMEOUT_MS = 1500;
+const WRITE_TIMEOUT_MS = 2000;
+const PAGE = 500;
+
+/** The state service by its published protocol, within this node's share of its request budget. */
+export class StoreClient {
+  private readonly http: HttpClient;
+  private readonly watchHttp: HttpClient;
+  private readonly budget: RateBudget;
+  private readonly rps: number;
+
+  constructor(
+    address: string,
+    limits: { rps: number },
+    now: () => number,
+    private readonly log: Logger,
+  ) {
+    this.http = new HttpClient(address, 16);
+    this.watchHttp = new HttpClient(address, 4);
+    // The limit is shared by all nodes and a burst at one must not starve the leader's lease.
+    this.rps = limits.rps * 0.5;
+    this.budget = new RateBudget(this.rps, now);
+  }
+
+  private async call(
+    method: string,
+    path: string,
+    body: string | null,
+    timeoutMs: number,
+    urgency: Urgency,
+  ): Promise<HttpResult> {
+    if (!this.budget.take(1, this.rps * RESERVE[urgency])) {
+      return { kind: 'answer', status: 429, body: '', retryAfterS: null };
+    }
+    return this.http.send(method, path, body, timeoutMs);
+  }
+
+  private settle<T>(result: HttpResult, decode: (text: string) => Decoded<T>): StoreResult<T> {
+    if (result.kind === 'silent') return result.sent ? { kind: 'unknown' } : { kind: 'refused' };
+    if (result.status !== 200) return { kind: 'refused' };
+    const decoded = decode(result.body);
+    if (decoded.ok) return { kind: 'ok', value: decoded.value };
+    this.log.error({ reason: decoded.reason }, 'store: malformed answer');
+    return { kind: 'unknown' };
+  }
+
+  /** null: the key does not exist. */
+  async get(key: string, urgency: Urgency): Promise<StoreResult<wire.Item | null>> {
+    const result = await this.call('GET', wire.STATE_PATHS.key(key), null, READ_TIMEOUT_MS, urgency);
+    if (result.kind === 'answer' && result.status === 404) {
+      // Only a 404 in the store's own form says that a key is missing.
+      return wire.decodeRevision(result.body).ok ? { kind: 'ok', value: null } : { kind: 'refused' };
+    }
+    return this.settle(result, wire.decodeItem);
+  }
+
+  /** All keys with a prefix, page by page, with the revision of the first page. */
+  async list(
+    prefix: string,
+    urgency: Urgency,
+  ): Promise<StoreResult<{ items: wire.Item[]; revision: number }>> {
+    const items: wire.Item[] = [];
+    let after = '';
+    let revision = -1;
+    for (;;) {
+      const path = wire.STATE_PATHS.list(prefix, after, PAGE);
+      const result = await this.call('GET', path, null, READ_TIMEOUT_MS, urgency);
+      const page = this.settle(result, wire.decodeItems);
+      if (page.kind !== 'ok') return page;
+      if (revision < 0) revision = page.value.revision;
+      items.push(...page.value.items);
+      const last = page.value.items.at(-1);
+      if (!page.value.more || !last) return { kind: 'ok', value: { items, revision } };
+      after = last.key;
+    }
+  }
+
+  async txn(
+    conditions: readonly wire.Condition[],
+    changes: readonly wire.Change[],
+    urgency: Urgency,
+  ): Promise<TxnResult> {
+    const body = wire.encodeTxn(conditions, changes);
+    const result = await this.call('POST', wire.STATE_PATHS.txn, body, WRITE_TIMEOUT_MS, urgency);
+    if (result.kind === 'answer' && result.status === 409) {
+      const failed = wire.decodeConflict(result.body);
+      return failed.ok ? { kind: 'conflict', failed: failed.value } : { kind: 'unknown' };
+    }
+    if (result.kind === 'answer' && result.status === 400) {
+      if (wire.isNoLease(result.body)) return { kind: 'no_lease' };
+      this.log.error({ body: result.body.slice(0, 200) }, 'store: transaction refused as malformed');
+    }
+    const settled = this.settle(result, wire.decodeRevision);
+    return settled.kind === 'ok' ? { kind: 'ok', revision: settled.value } : settled;
+  }
+
+  async grant(ttlMs: number): Promise<StoreResult<number>> {
+    const body = wire.encodeGrant(ttlMs);
+    const result = await this.call('POST', wire.STATE_PATHS.leases, body, WRITE_TIMEOUT_MS, 'lease');
+    return this.settle(result, wire.decodeGrant);
+  }
+
+  /** `ok` with false: the lease is over. */
+  async renew(lease: number, timeoutMs: number): Promise<StoreResult<boolean>> {
+    const result = await this.call('POST', wire.STATE_PATHS.renew(lease), '{}', timeoutMs, 'lease');
+    if (result.kind === 'answer' && result.status === 404) return { kind: 'ok', value: false };
+    return this.settle(result, () => ({ ok: true, value: true }));
+  }
+
+  async revoke(lease: number): Promise<boolean> {
+    const result = await this.call('DELETE', wire.STATE_PATHS.lease(lease), null, WRITE_TIMEOUT_MS, 'lease');
+    return result.kind === 'answer' && (result.status < 300 || result.status === 404);
+  }
+
+  /** Waits for changes after a revision. `gone`: the revision is too old and the keys must be read again. */
+  async watch(
+    prefix: string,
+    after: number,
+    waitMs: number,
+  ): Promise<StoreResult<{ revision: number; events: wire.WatchEvent[] }> | { kind: 'gone' }> {
+    if (!this.budget.take(1)) return { kind: 'refused' };
+    const path = wire.STATE_PATHS.watch(prefix, after, waitMs);
+    // During an outage an open watch stays open, so its own time-out is generous.
+    const result = await this.watchHttp.send('GET', path, null, waitMs + 5000);
+    if (result.kind === 'answer' && result.status === 410) return { kind: 'gone' };
+    return this.settle(result, wire.decodeEvents);
+  }
+}
--- /dev/null
+++ b/src/wire/amounts.ts
@@ -0,0 +1,30 @@
+import * as z from 'zod/mini';
+
+/** Building blocks of the codecs. Counts reach 2^64 on the wire; past 2^53 they are refused, never rounded. */
+export const amount = z.number().check(z.minimum(0));
+export const count = z.int().check(z.minimum(0));
+export const orNull = <T>(type: z.ZodMiniType<T>) => z.nullish(type);
+
+export type Decoded<T> = { ok: true; value: T } | { ok: false; reason: string };
+
+/** Decodes JSON text; a failure carries a one-line reason. */
+export function decodeText<T>(type: z.ZodMiniType<T>, text: string): Decoded<T> {
+  let raw: unknown;
+  try {
+    raw = JSON.parse(text);
+  } catch {
+    return { ok: false, reason: 'body is not JSON' };
+  }
+  return decodeValue(type, raw);
+}
+
+export function decodeValue<T>(type: z.ZodMiniType<T>, raw: unknown): Decoded<T> {
+  if (typeof raw !== 'object' || raw === null || Array.isArray(raw)) {
+    return { ok: false, reason: 'body is not an object' };
+  }
+  const result = type.safeParse(raw);
+  if (result.success) return { ok: true, value: result.data };
+  const issue = result.error.issues[0];
+  const field = issue?.path.join('.') ?? '';
+  return { ok: false, reason: `field ${field}: ${issue?.message ?? 'invalid'}`.slice(0, 200) };
+}
--- /dev/null
+++ b/src/wire/state.ts
@@ -0,0 +1,109 @@
+import * as z from 'zod/mini';
+import { count, decodeText, orNull, type Decoded } from './amounts.ts';
+
+const wireItem = z.object({ k: z.string(), data: z.unknown(), stamp: count, permit: orNull(count) });
+const wireList = z.object({ rows: z.array(wireItem), hasNext: z.boolean(), ledger: count });
+const wireEvents = z.object({
+  ledger: count,
+  log: z.array(
+    z.object({ set: orNull(z.string()), drop: orNull(z.string()), data: z.unknown(), stamp: count }),
+  ),
+});
+
+export interface Item {
+  key: string;
+  value: unknown;
+  version: number;
+  lease: number | null;
+}
+export interface Condition {
+  key: string;
+  version: number;
+}
+export type Change = { put: string; value: unknown; lease?: number } | { delete: string };
+export interface WatchEvent {
+  key: string;
+  deleted: boolean;
+  value: unknown;
+  version: number;
+}
+
+const toItem = (i: z.infer<typeof wireItem>): Item => ({
+  key: i.k,
+  value: i.data,
+  version: i.stamp,
+  lease: i.permit ?? null,
+});
+
+export function decodeItem(text: string): Decoded<Item> {
+  const d = decodeText(wireItem, text);
+  return d.ok ? { ok: true, value: toItem(d.value) } : d;
+}
+
+export function decodeItems(text: string): Decoded<{ items: Item[]; more: boolean; revision: number }> {
+  const d = decodeText(wireList, text);
+  if (!d.ok) return d;
+  return {
+    ok: true,
+    value: { items: d.value.rows.map(toItem), more: d.value.hasNext, revision: d.value.ledger },
+  };
+}
+
+export function encodeTxn(conditions: readonly Condition[], changes: readonly Change[]): string {
+  return JSON.stringify({
+    if: conditions.map((c) => ({ k: c.key, stamp: c.version })),
+    then: changes.map((c) =>
+      'put' in c
+        ? { set: c.put, data: c.value, ...(c.lease === undefined ? {} : { permit: c.lease }) }
+        : { drop: c.delete },
+    ),
+  });
+}
+
+export function decodeRevision(text: string): Decoded<number> {
+  const d = decodeText(z.object({ ledger: count }), text);
+  return d.ok ? { ok: true, value: d.value.ledger } : d;
+}
+
+export function decodeConflict(text: string): Decoded<string[]> {
+  const d = decodeText(z.object({ failed: z.array(z.string()) }), text);
+  return d.ok ? { ok: true, value: d.value.failed } : d;
+}
+
+export function isNoLease(text: string): boolean {
+  const d = decodeText(z.object({ error: z.string() }), text);
+  return d.ok && d.value.error === 'no such lease';
+}
+
+export function encodeGrant(ttlMs: number): string {
+  return JSON.stringify({ ttlMs });
+}
+
+export function decodeGrant(text: string): Decoded<number> {
+  const d = decodeText(z.object({ permit: count }), text);
+  return d.ok ? { ok: true, value: d.value.permit } : d;
+}
+
+export function decodeEvents(text: string): Decoded<{ revision: number; events: WatchEvent[] }> {
+  const d = decodeText(wireEvents, text);
+  if (!d.ok) return d;
+  const events: WatchEvent[] = [];
+  for (const e of d.value.log) {
+    const key = e.set ?? e.drop;
+    if (typeof key !== 'string') return { ok: false, reason: 'event without a key' };
+    events.push({ key, deleted: typeof e.set !== 'string', value: e.data, version: e.stamp });
+  }
+  return { ok: true, value: { revision: d.value.ledger, events } };
+}
+
+export const STATE_PATHS = {
+  key: (key: string) => `/store/${key}`,
+  list: (prefix: string, after: string, limit: number) =>
+    `/store?starts=${encodeURIComponent(prefix)}${after ? `&since=${encodeURIComponent(after)}` : ''}&most=${limit}`,
+  txn: '/multi',
+  leases: '/grants',
+  renew: (lease: number) => `/grants/${lease}/renew`,
+  lease: (lease: number) => `/grants/${lease}`,
+  watch: (prefix: string, after: number, waitMs: number) =>
+    `/follow?starts=${encodeURIComponent(prefix)}&since=${after}&holdMs=${waitMs}`,
+};
--- /dev/null
+++ b/src/wire/user.ts
@@ -0,0 +1,130 @@
+import * as z from 'zod/mini';
+import { amount, decodeText, decodeValue, orNull, type Decoded } from './amounts.ts';
+
+const MAX_TASKS = 100_000;
+const JOB_ID = /^req-\d{1,20}$/;
+
+const SHAPES = { array: 'array', ensemble: 'gang' } as const;
+const RANKS = { critical: 3, urgent: 2, standard: 1, low: 0 } as const;
+
+export type JobStage = 'pending' | 'running' | 'done' | 'cancelled';
+const STAGES: Record<JobStage, string> = {
+  pending: 'pending',
+  running: 'running',
+  done: 'done',
+  cancelled: 'aborted',
+};
+
+const wireJob = z.object({
+  uid: z.string().check(z.regex(JOB_ID)),
+  batch: z.string(),
+  crew: z.string(),
+  shape: z.enum(['array', 'ensemble']),
+  rank: z.enum(['critical', 'urgent', 'standard', 'low']),
+  loaves: z.int().check(z.minimum(1), z.maximum(MAX_TASKS)),
+  cores: amount,
+  accelerators: amount,
+  memGb: amount,
+  ovens: orNull(z.array(z.string())),
+  yard: orNull(z.string()),
+  samePlace: z.boolean(),
+  apart: z.boolean(),
+  borrowed: z.boolean(),
+  recipe: z.string(),
+  imageGb: amount,
+  bakeS: amount,
+  proofS: amount,
+  coolS: amount,
+  dueS: orNull(amount),
+});
+
+/** The user's request in the form in which it is also kept in the store. */
+export type StoredJob = z.infer<typeof wireJob>;
+
+/** A job in the service's own terms; names are still names here. */
+export interface JobRequest {
+  id: string;
+  className: string;
+  team: string;
+  gang: boolean;
+  priority: number;
+  tasks: number;
+  cpus: number;
+  gpus: number;
+  memory: number;
+  types: string[] | null;
+  zone: string | null;
+  oneZone: boolean;
+  spread: boolean;
+  spot: boolean;
+  image: string;
+  imageGb: number;
+  estimateS: number;
+  checkpointS: number;
+  saveS: number;
+  deadlineS: number | null;
+  stored: StoredJob;
+}
+
+function toRequest(w: StoredJob): JobRequest {
+  return {
+    id: w.uid,
+    className: w.batch,
+    team: w.crew,
+    gang: SHAPES[w.shape] === 'gang',
+    priority: RANKS[w.rank],
+    tasks: w.loaves,
+    cpus: w.cores,
+    gpus: w.accelerators,
+    memory: w.memGb,
+    types: w.ovens ?? null,
+    zone: w.yard ?? null,
+    oneZone: w.samePlace,
+    spread: w.apart,
+    spot: w.borrowed,
+    image: w.recipe,
+    imageGb: w.imageGb,
+    estimateS: w.bakeS,
+    checkpointS: w.proofS,
+    saveS: w.coolS,
+    deadlineS: w.dueS ?? null,
+    stored: w,
+  };
+}
+
+function mapped(decoded: Decoded<StoredJob>): Decoded<JobRequest> {
+  return decoded.ok ? { ok: true, value: toRequest(decoded.value) } : decoded;
+}
+
+export function decodeJob(text: string): Decoded<JobRequest> {
+  return mapped(decodeText(wireJob, text));
+}
+
+export function decodeStoredJob(raw: unknown): Decoded<JobRequest> {
+  return mapped(decodeValue(wireJob, raw));
+}
+
+/** The id of a body that may otherwise be off: a known job is answered with its state whatever else is sent. */
+export function peekJobId(text: string): string | null {
+  const decoded = decodeText(z.object({ uid: z.string() }), text);
+  return decoded.ok && isJobId(decoded.value.uid) ? decoded.value.uid : null;
+}
+
+export function isJobId(id: string): boolean {
+  return JOB_ID.test(id);
+}
+
+export interface JobStatus {
+  stage: JobStage;
+  done: number;
+  running: number;
+}
+
+export function encodeStatus(id: string, status: JobStatus): string {
+  return JSON.stringify({
+    uid: id,
+    stage: STAGES[status.stage],
+    done: status.done,
+    running: status.running,
+  });
+}
--- /dev/null
+++ b/src/wire/worker.ts
@@ -0,0 +1,127 @@
+import * as z from 'zod/mini';
+import { amount, count, decodeText, orNull, type Decoded } from './amounts.ts';
+
+export type Cause = 'done' | 'stopped' | 'peers' | 'alone' | 'error' | 'full' | 'busy' | 'unknown';
+const CAUSE_TERMS: Record<string, Cause> = {
+  done: 'done',
+  stopped: 'stopped',
+  peers: 'peers',
+  incomplete: 'alone',
+  error: 'error',
+  full: 'full',
+  busy: 'busy',
+  no_such: 'unknown',
+};
+
+const STAGES = ['fetching', 'waiting', 'running', 'saving', 'ended'] as const;
+export type TaskPhase = (typeof STAGES)[number];
+
+const wireReport = z.object({
+  hearth: z.string().check(z.minLength(1), z.maxLength(100)),
+  address: z.string().check(z.regex(/^[^:\s]+:\d{1,5}$/)),
+  oven: z.string(),
+  yard: z.string(),
+  borrowed: z.boolean(),
+  shift: count,
+  tick: count,
+  baton: count,
+  warningS: orNull(amount),
+  loaves: z.array(
+    z.object({
+      loaf: z.string(),
+      try: count,
+      stage: z.enum(STAGES),
+      cause: orNull(z.string()),
+      saved: orNull(z.boolean()),
+    }),
+  ),
+});
+
+export interface ReportedTask {
+  jobId: string;
+  task: number;
+  attempt: number;
+  phase: TaskPhase;
+  /** Set once the task has ended. A cause this version doesn't know counts as an error. */
+  cause: Cause | null;
+  saved: boolean;
+}
+
+export interface Report {
+  machine: string;
+  address: string;
+  machineType: string;
+  zone: string;
+  spot: boolean;
+  session: number;
+  seq: number;
+  token: number;
+  noticeS: number | null;
+  tasks: ReportedTask[];
+}
+
+const TASK_ID = /^(.+)\/(\d{1,6})$/;
+
+export function decodeReport(text: string): Decoded<Report> {
+  const decoded = decodeText(wireReport, text);
+  if (!decoded.ok) return decoded;
+  const w = decoded.value;
+  const tasks: ReportedTask[] = [];
+  for (const t of w.loaves) {
+    const match = TASK_ID.exec(t.loaf);
+    if (!match) return { ok: false, reason: 'field loaves: malformed task id' };
+    const ended = t.stage === 'ended';
+    tasks.push({
+      jobId: match[1]!,
+      task: Number(match[2]),
+      attempt: t.try,
+      phase: t.stage,
+      cause: ended ? (CAUSE_TERMS[t.cause ?? ''] ?? 'error') : null,
+      saved: t.saved ?? false,
+    });
+  }
+  return {
+    ok: true,
+    value: {
+      machine: w.hearth,
+      address: w.address,
+      machineType: w.oven,
+      zone: w.yard,
+      spot: w.borrowed,
+      session: w.shift,
+      seq: w.tick,
+      token: w.baton,
+      noticeS: w.warningS ?? null,
+      tasks,
+    },
+  };
+}
+
+export type Command =
+  | { op: 'start'; jobId: string; task: number; attempt: number }
+  | { op: 'stop'; jobId: string; task: number; attempt: number; graceS: number }
+  | { op: 'forget'; jobId: string; task: number; attempt: number };
+
+function encodeCommand(c: Command): object {
+  const loaf = `${c.jobId}/${c.task}`;
+  switch (c.op) {
+    case 'start':
+      return { verb: 'launch', loaf, try: c.attempt };
+    case 'stop':
+      return { verb: 'stop', loaf, try: c.attempt, windDownS: c.graceS };
+    case 'forget':
+      return { verb: 'clear', loaf, try: c.attempt };
+  }
+}
+
+export function encodeReportAnswer(token: number, commands: readonly Command[]): string {
+  return JSON.stringify({ baton: token, orders: commands.map(encodeCommand) });
+}
+
+export function encodeOrders(token: number, session: number, commands: readonly Command[]): string {
+  return JSON.stringify({ baton: token, shift: session, orders: commands.map(encodeCommand) });
+}
+
+export function encodeReportTo(node: string | null): string {
+  return JSON.stringify(node === null ? {} : { foreman: node });
+}
--- /dev/null
+++ b/src/workers/client.ts
@@ -0,0 +1,32 @@
+import { HttpClient, keepAliveAgent } from '../http/client.ts';
+import { decodeReport, encodeOrders, type Command, type Report } from '../wire/worker.ts';
+import type { Machine } from './machine.ts';
+
+export type OrderResult = { report: Report; executed: boolean } | 'not_sent' | 'silent';
+
+const ORDER_TIMEOUT_MS = 2500;
+const INSPECT_TIMEOUT_MS = 2000;
+
+/** Speaks to workers at their own addresses. */
+export class WorkerClient {
+  private readonly agent = keepAliveAgent(2);
+
+  async order(machine: Machine, token: number, commands: readonly Command[]): Promise<OrderResult> {
+    const body = encodeOrders(token, machine.session, commands);
+    const client = new HttpClient(machine.id.address, this.agent);
+    const result = await client.send('POST', '/orders', body, ORDER_TIMEOUT_MS);
+    if (result.kind === 'silent') return result.sent ? 'silent' : 'not_sent';
+    if (result.status !== 200 && result.status !== 409) return 'not_sent';
+    const report = decodeReport(result.body);
+    // An answer that doesn't decode proves nothing about the orders.
+    return report.ok ? { report: report.value, executed: result.status === 200 } : 'silent';
+  }
+
+  async inspect(machine: Machine): Promise<Report | null> {
+    const client = new HttpClient(machine.id.address, this.agent);
+    const result = await client.send('GET', '/inspect', null, INSPECT_TIMEOUT_MS);
+    if (result.kind !== 'answer' || result.status !== 200) return null;
+    const report = decodeReport(result.body);
+    return report.ok ? report.value : null;
+  }
+}
--- /dev/null
+++ b/src/workers/machine.ts
@@ -0,0 +1,104 @@
+import type { Job } from '../jobs/job.ts';
+import type { Cause, TaskPhase } from '../wire/worker.ts';
+
+/** One start of a task on a machine, from the decision until the machine has forgotten it. */
+export interface Attempt {
+  readonly jobId: string;
+  readonly task: number;
+  readonly number: number;
+  readonly machine: Machine;
+  /** null: a task of a job that isn't open, left over from before. */
+  readonly job: Job | null;
+  phase: 'launching' | TaskPhase;
+  /** The worker has reported it in this session. */
+  seen: boolean;
+  /** It no longer counts: ended, or surely gone. */
+  released: boolean;
+  cause: Cause | null;
+  /** Grace of the stop that was decided, or null. */
+  stopGraceS: number | null;
+  /** Direct launches that had no answer: they may be executed as long as the session lasts. */
+  doubt: boolean;
+  /** Direct launches on their way. */
+  underWay: number;
+  assignedAt: number;
+  runningSince: number | null;
+  /** Sequence number of the last report before its launch was last put in an answer. */
+  launchedInSeq: number;
+}
+
+export interface MachineIdentity {
+  name: string;
+  address: string;
+  machineType: string;
+  zone: string;
+  spot: boolean;
+}
+
+/** What the leader knows of one machine, from its worker's reports. */
+export class Machine {
+  session = 0;
+  seq = 0;
+  token = 0;
+  /** When a report (or the answer to an order) last arrived; -Infinity before. */
+  heardAt = -Infinity;
+  /** Upper bound for when anyone last answered a report of it: its lease counts from before that. */
+  answeredAt: number;
+  /** When the cloud takes the machine away. */
+  takenAt: number | null = null;
+  readonly attempts = new Map<string, Attempt>();
+  /** Written to the roster: the condition of its first launch. */
+  rostered = false;
+  rosterQueued = false;
+  /** Nothing that an earlier leader started can be on it without being known. */
+  accounted = false;
+  returning = false;
+  /** Ordered out: no new tasks, and returned as soon as it is empty. */
+  draining = false;
+  idleSince: number;
+  errors = 0;
+  lastErrorAt = -Infinity;
+  readonly firstSeenAt: number;
+  pushing = false;
+  pushAfter = 0;
+  readonly images = new Map<string, number>();
+  /** Measured speed against the estimates: see `Speed`. */
+  constructor(
+    readonly index: number,
+    readonly id: MachineIdentity,
+    readonly type: number,
+    readonly zone: number,
+    now: number,
+    answeredBefore: number,
+  ) {
+    this.firstSeenAt = now;
+    this.idleSince = now;
+    this.answeredAt = answeredBefore;
+  }
+
+  get name(): string {
+    return this.id.name;
+  }
+
+  /** Tasks that take room. */
+  live(): Attempt[] {
+    const found: Attempt[] = [];
+    for (const a of this.attempts.values()) if (!a.released) found.push(a);
+    return found;
+  }
+
+  get liveCount(): number {
+    let count = 0;
+    for (const a of this.attempts.values()) if (!a.released) count += 1;
+    return count;
+  }
+
+  get hasForeign(): boolean {
+    for (const a of this.attempts.values()) if (!a.released && a.job === null) return true;
+    return false;
+  }
+}
+
+export function attemptKey(jobId: string, task: number, number: number): string {
+  return `${jobId}/${task}#${number}`;
+}
--- /dev/null
+++ b/src/workers/reconcile.ts
@@ -0,0 +1,135 @@
+import type { Job } from '../jobs/job.ts';
+import type { Cause, Command, Report } from '../wire/worker.ts';
+import { attemptKey, type Attempt, type Machine } from './machine.ts';
+
+/** What a report means for jobs; the order is the order in which it must be taken in. */
+export type WorkerEvent =
+  | { kind: 'seen'; attempt: Attempt }
+  | { kind: 'running'; attempt: Attempt }
+  /** The attempt holds nothing any more. `cause` null: it is gone without having said why. */
+  | { kind: 'released'; attempt: Attempt; cause: Cause | null; saved: boolean };
+
+export interface ReconcileContext {
+  now: number;
+  jobOf(id: string): Job | null;
+}
+
+function release(a: Attempt, cause: Cause | null, saved: boolean, events: WorkerEvent[]): void {
+  if (a.released) return;
+  a.released = true;
+  a.cause = cause;
+  events.push({ kind: 'released', attempt: a, cause, saved });
+}
+
+/** Everything on the machine is surely gone: a new session, its lease run out, or the machine returned. */
+export function loseAll(machine: Machine): WorkerEvent[] {
+  const events: WorkerEvent[] = [];
+  for (const a of machine.attempts.values()) release(a, null, false, events);
+  machine.attempts.clear();
+  return events;
+}
+
+/** True if the report is newer than all before. Late copies must change nothing. */
+export function isNewer(machine: Machine, report: Report): boolean {
+  return report.session > machine.session || (report.session === machine.session && report.seq > machine.seq);
+}
+
+/**
+ * Takes a newer report in. `direct`: it came as the answer to orders, so a launch that is under way by
+ * another path may still follow; only a report of the worker's own proves that an earlier answer's launch
+ * was executed or never will be.
+ */
+export function applyReport(
+  machine: Machine,
+  report: Report,
+  direct: boolean,
+  ctx: ReconcileContext,
+): WorkerEvent[] {
+  const events: WorkerEvent[] = [];
+  if (report.session > machine.session) {
+    // The worker has killed and forgotten what it had; launches meant for the old session are refused.
+    if (machine.session > 0) events.push(...loseAll(machine));
+    machine.session = report.session;
+    machine.images.clear();
+  }
+  machine.seq = report.seq;
+  machine.token = Math.max(machine.token, report.token);
+  machine.heardAt = ctx.now;
+  machine.takenAt = report.noticeS === null ? null : ctx.now + report.noticeS * 1000;
+
+  const reported = new Set<string>();
+  for (const t of report.tasks) {
+    const key = attemptKey(t.jobId, t.task, t.attempt);
+    reported.add(key);
+    let a = machine.attempts.get(key);
+    if (!a) {
+      const job = ctx.jobOf(t.jobId);
+      a = {
+        jobId: t.jobId,
+        task: t.task,
+        number: t.attempt,
+        machine,
+        job: job && t.task < job.spec.tasks ? job : null,
+        phase: 'launching',
+        seen: false,
+        released: false,
+        cause: null,
+        stopGraceS: null,
+        doubt: false,
+        underWay: 0,
+        assignedAt: ctx.now,
+        runningSince: null,
+        launchedInSeq: -1,
+      };
+      machine.attempts.set(key, a);
+    }
+    const first = !a.seen;
+    a.seen = true;
+    const before = a.phase;
+    a.phase = t.phase;
+    if (t.phase === 'running' || t.phase === 'waiting' || t.phase === 'saving') {
+      if (a.job) machine.images.set(a.job.spec.image, ctx.now);
+    }
+    if (first) events.push({ kind: 'seen', attempt: a });
+    if (t.phase === 'running' && before !== 'running') {
+      a.runningSince = ctx.now;
+      events.push({ kind: 'running', attempt: a });
+    }
+    if (t.phase === 'ended') release(a, t.cause ?? 'error', t.saved, events);
+  }
+  for (const [key, a] of machine.attempts) {
+    if (reported.has(key)) continue;
+    if (a.seen) {
+      // Known to the worker before and not any more: it was cleared.
+      machine.attempts.delete(key);
+      release(a, null, false, events);
+    } else if (a.stopGraceS !== null && !direct && !a.doubt && a.underWay === 0) {
+      // Its launch can't be executed any more: answers before this report were, and no order is under way.
+      machine.attempts.delete(key);
+      release(a, null, false, events);
+    }
+  }
+  return events;
+}
+
+/** May the worker forget this ended attempt? Not while a launch may arrive, nor before its end is durable. */
+export function mayForget(a: Attempt): boolean {
+  if (a.phase !== 'ended' || a.doubt || a.underWay > 0) return false;
+  return a.cause !== 'done' || a.job === null || a.job.isDurable(a.task);
+}
+
+/** All that the worker should do now. Starts only while the leadership is sure. */
+export function commandsFor(machine: Machine, mayStart: boolean): Command[] {
+  const commands: Command[] = [];
+  for (const a of machine.attempts.values()) {
+    const id = { jobId: a.jobId, task: a.task, attempt: a.number };
+    if (a.phase === 'ended') {
+      if (mayForget(a)) commands.push({ op: 'forget', ...id });
+    } else if (a.stopGraceS !== null) {
+      if (a.seen) commands.push({ op: 'stop', ...id, graceS: a.stopGraceS });
+    } else if (!a.seen && mayStart) {
+      commands.push({ op: 'start', ...id });
+    }
+  }
+  return commands;
+}
