--- a/src/config/options.ts
+++ b/src/config/options.ts
@@ -33,6 +33,13 @@
     finish_batch_ms: tunable(500, 500, 10_000, 'ms', 'least time between two writes of finished tasks'),
     fetch_steps: tunable(1, 0, 1000, 'steps/s', 'cost of a second of image fetch, in tasks of load'),
     price_steps: tunable(3, 0, 1000, 'steps', 'cost of each unit of hourly price over the cheapest type'),
+    guarantee_after_s: tunable(
+      60,
+      0,
+      3600,
+      's',
+      'wait after which a team is given its guarantee by stopping others',
+    ),
     preempt: tunable(1, 0, 1, 'flag', '1: tasks of lower rank are stopped to make room'),
   },
   workers: {
--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -1016,6 +1016,7 @@
         machines,
         (index) => this.victims(index, guaranteed),
         teamRoom,
+        this.deps.options.scheduling.guarantee_after_s * 1000,
       );
       for (const a of victims) this.stopOrderly(a, `preempted for ${this.jobList.get(group.job)?.id ?? '?'}`);
     }
--- a/src/scheduling/preempt.ts
+++ b/src/scheduling/preempt.ts
@@ -21,9 +21,13 @@
   lossS: number;
 }
 
-/** May this task be stopped for that group? By rank, or to give a team its guarantee. */
-export function mayPreempt(group: GroupView, victim: VictimView<unknown>): boolean {
+/**
+ * May this task be stopped for that group? By rank at once. To give a team its guarantee only after a while:
+ * machines that end their tasks or that are rented mostly bring it sooner, and stopping loses work.
+ */
+export function mayPreempt(group: GroupView, victim: VictimView<unknown>, guaranteeAfterMs: number): boolean {
   if (victim.priority < group.priority) return true;
+  if (group.waitedMs < guaranteeAfterMs) return false;
   return group.guaranteed && victim.beyondGuarantee && victim.team !== group.team;
 }
 
@@ -37,6 +41,7 @@
   machines: readonly MachineView[],
   victimsOn: (machine: number) => VictimView<T>[],
   teamRoom: readonly TeamRoom[],
+  guaranteeAfterMs: number,
 ): T[] {
   let want = Math.min(waiting, teamFits(group.need, teamRoom[group.team]!));
   if (group.gang && want < group.pending) return [];
@@ -55,7 +60,7 @@
       want -= Math.min(want, already);
       continue;
     }
-    const candidates = victims.filter((v) => !v.stopping && mayPreempt(group, v));
+    const candidates = victims.filter((v) => !v.stopping && mayPreempt(group, v, guaranteeAfterMs));
     candidates.sort((a, b) => a.priority - b.priority || a.lossS - b.lossS);
     const items: T[] = [];
     let loss = 0;
--- a/src/wire/state.ts
+++ b/src/wire/state.ts
@@ -6,7 +6,12 @@
 const wireEvents = z.object({
   ledger: count,
   log: z.array(
-    z.object({ set: orNull(z.string()), drop: orNull(z.string()), data: z.unknown(), stamp: count }),
+    z.object({
+      set: orNull(z.string()),
+      drop: orNull(z.string()),
+      data: z.optional(z.unknown()),
+      stamp: count,
+    }),
   ),
 });
 
