--- a/src/config/options.ts
+++ b/src/config/options.ts
@@ -40,6 +40,13 @@
       's',
       'wait after which a team is given its guarantee by stopping others',
     ),
+    rent_steps: tunable(
+      30,
+      0,
+      100_000,
+      'tenths',
+      'cost of a rented machine per unit of hourly price and task',
+    ),
     preempt: tunable(1, 0, 1, 'flag', '1: tasks of lower rank are stopped to make room'),
   },
   workers: {
@@ -53,6 +60,8 @@
     save_margin_s: tunable(4, 0, 60, 's', 'time kept beside the saving time when a machine is taken away'),
   },
   fleet: {
+    patience_share: tunable(0.3, 0, 1, 'share', 'part of its spare time that a job waits rather than rent'),
+    patience_max_s: tunable(60, 0, 3600, 's', 'longest such wait'),
     idle_s: tunable(20, 0, 3600, 's', 'idle time after which a machine is returned'),
     boot_patience: tunable(
       2.5,
--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -790,6 +790,47 @@
     return free;
   }
 
+  /** When the running tasks of a machine are expected to leave, by their owners' estimates. */
+  private leavingOf(m: Machine, now: number): MachineView['leaving'] {
+    const leaving: MachineView['leaving'] = [];
+    for (const a of m.attempts.values()) {
+      if (a.released || !a.job) continue;
+      const { spec } = a.job;
+      const room = { cpus: spec.cpus, gpus: spec.gpus, memory: spec.memory };
+      let inS: number;
+      if (a.stopGraceS !== null) inS = a.stopGraceS;
+      else {
+        const ranS = a.runningSince === null ? 0 : (now - a.runningSince) / 1000;
+        // A task past its estimate has outlived it: it is given a good part of what it has run.
+        inS = Math.max(spec.estimateS - ranS, ranS * 0.3, 3);
+      }
+      leaving.push({ inS, room });
+    }
+    return leaving.sort((x, y) => x.inS - y.inS);
+  }
+
+  /**
+   * How long a job can wait beyond the boot of a rented machine without missing what is expected of its class:
+   * a part of what is left of its time once fetching, booting and running are taken off.
+   */
+  private patienceOf(job: Job): number {
+    const { spec } = job;
+    const ageS = (this.deps.host.clock.wall() - job.createdWall) / 1000;
+    let slack = Infinity;
+    for (const o of this.deps.settings.settings.objectives) {
+      if (o.class !== spec.className) continue;
+      if (o.kind === 'wait' && o.within_s) slack = Math.min(slack, Math.max(0, o.within_s - ageS));
+      if (o.kind === 'finished' && o.within_s) slack = Math.min(slack, o.within_s - ageS - spec.estimateS);
+      if (o.kind === 'deadline' && spec.deadlineS) {
+        slack = Math.min(slack, spec.deadlineS * (o.times ?? 1) - ageS - spec.estimateS);
+      }
+    }
+    const { patience_share, patience_max_s } = this.deps.options.fleet;
+    // Late anyway: then money decides.
+    if (slack <= 0) return patience_max_s / 2;
+    return Math.min(patience_max_s, slack * patience_share);
+  }
+
   private machineViews(): MachineView[] {
     const views: MachineView[] = [];
     const now = this.now();
@@ -806,6 +847,7 @@
         zone: m.zone,
         spot: m.id.spot,
         free: this.freeOf(m),
+        leaving: this.leavingOf(m, now),
         load: m.liveCount,
         bootsInS: 0,
         hasImage: (image) => m.images.has(image),
@@ -822,6 +864,7 @@
         zone: b.zone,
         spot: b.spot,
         free: { cpus: type.cpus, gpus: type.gpus, memory: type.memory },
+        leaving: [],
         load: 0,
         bootsInS: Math.max(1, type.bootS - (now - b.rentedAt) / 1000),
         hasImage: () => false,
@@ -901,6 +944,7 @@
         image: spec.image,
         imageGb: spec.imageGb,
         avoid: job.avoid,
+        patienceS: this.patienceOf(job),
         guaranteed: guaranteed.has(job),
       });
     }
@@ -934,6 +978,7 @@
         maxGroups: scheduling.max_groups,
         fetchSteps: scheduling.fetch_steps,
         priceSteps: scheduling.price_steps,
+        rentSteps: scheduling.rent_steps,
       },
       () => this.now() > deadline,
     );
@@ -1010,13 +1055,17 @@
     for (const group of groups) {
       const waiting = (unplaced.get(group.job) ?? 0) + (awaiting.get(group.job) ?? 0);
       if (waiting === 0) continue;
+      // With room on its way, a guarantee alone is no reason to stop others.
+      const guaranteeAfterMs = unplaced.has(group.job)
+        ? this.deps.options.scheduling.guarantee_after_s * 1000
+        : Infinity;
       const victims = pickVictims(
         group,
         waiting,
         machines,
         (index) => this.victims(index, guaranteed),
         teamRoom,
-        this.deps.options.scheduling.guarantee_after_s * 1000,
+        guaranteeAfterMs,
       );
       for (const a of victims) this.stopOrderly(a, `preempted for ${this.jobList.get(group.job)?.id ?? '?'}`);
     }
--- a/src/scheduling/round.ts
+++ b/src/scheduling/round.ts
@@ -7,6 +7,7 @@
   type MachineView,
   type OptionView,
   type Placement,
+  type Room,
   type RoundResult,
   type TeamRoom,
 } from './view.ts';
@@ -18,23 +19,36 @@
   maxGroups: number;
   /** Cost steps per second of image fetch. */
   fetchSteps: number;
+  /** Cost per unit of hourly price and task of a machine to be rented. */
+  rentSteps: number;
   /** Cost steps per unit of hourly price that a machine costs over the cheapest that fits. */
   priceSteps: number;
 }
 
 /** A further task on a machine costs one step more. Steps are scaled so that preferences can be finer. */
 const STEP = 10;
-/** Present machines always cost less than this, booting ones less than twice, rented ones less than thrice. */
+/** Costs on present machines stay below one band, those of room that is yet to come below the second. */
 const BAND = 100_000;
-const UNSCHEDULED = 10 * BAND;
+/** Dearer than any machine, whatever the group's urgency adds. */
+const UNSCHEDULED = 20 * BAND;
 
+/** A machine's free room, a part of its room that running tasks will leave, or a machine that could be rented. */
 interface Target {
   node: number;
   view: MachineView | null;
+  /** Index into `leaving` of the view, or -1 for the room that is free now. */
+  step: number;
   option: OptionView | null;
   slots: number;
 }
 
+/** Free room of a machine once the first `steps` of its running tasks have left. */
+function roomAfter(view: MachineView, steps: number): Room {
+  const room = { ...view.free };
+  for (let i = 0; i < steps; i++) takeRoom(room, view.leaving[i]!.room, -1);
+  return room;
+}
+
 interface Edge {
   group: number;
   target: number;
@@ -191,8 +205,13 @@
   const sink = net.addNode();
   const unscheduled = net.addNode();
   const targets: Target[] = [];
-  for (const view of machines) targets.push({ node: net.addNode(), view, option: null, slots: 0 });
-  for (const option of rentable) targets.push({ node: net.addNode(), view: null, option, slots: 0 });
+  for (const view of machines) {
+    for (let step = -1; step < view.leaving.length; step++) {
+      targets.push({ node: net.addNode(), view, step, option: null, slots: 0 });
+    }
+  }
+  for (const option of rentable)
+    targets.push({ node: net.addNode(), view: null, step: -1, option, slots: 0 });
   const edges: Edge[] = [];
   let supply = 0;
 
@@ -201,7 +220,9 @@
     if (wanted <= 0 || (group.gang && wanted < group.pending)) return;
     const node = net.addNode();
     net.addArc(source, node, wanted, 0);
-    net.addArc(node, unscheduled, wanted, UNSCHEDULED + urgency(group));
+    // Urgency counts once between room now and room to come, and again between that and no room at all.
+    const press = urgency(group);
+    net.addArc(node, unscheduled, wanted, UNSCHEDULED + 2 * press);
     supply += wanted;
     const onlyZone = group.oneZone ? pickZone(group, machines, rentable) : -1;
     if (group.oneZone && onlyZone < 0) return;
@@ -232,17 +253,21 @@
         if (group.avoid.has(view.machine)) return;
         const holder = result.reserved.get(view.machine);
         if (holder !== undefined && holder !== group.job) return;
-        const count = Math.min(wanted, fits(group.need, view.free));
-        if (count === 0) return;
-        const band = view.bootsInS > 0 ? BAND + clamp(view.bootsInS * STEP) : 0;
-        const cost = band + clamp(machineCost(group, view, cheapest, options));
+        const step = target.step;
+        const before = step < 0 ? 0 : fits(group.need, roomAfter(view, step));
+        const count = Math.min(wanted, fits(group.need, roomAfter(view, step + 1)) - before);
+        if (count <= 0) return;
+        const own = machineCost(group, view, cheapest, options);
+        const later = step < 0 ? view.bootsInS : view.leaving[step]!.inS;
+        const cost = later > 0 ? BAND + press + clamp(own / 10 + later * STEP) : clamp(own);
         edges.push({ group: index, target: at, arc: net.addArc(entry(view.zone), target.node, count, cost) });
         target.slots = Math.max(target.slots, count);
       } else if (option) {
         const each = fits(group.need, option.size);
         const count = Math.min(wanted, each * option.max);
         if (count === 0) return;
-        const cost = 2 * BAND + clamp((option.price / each) * 1000 + option.bootS * STEP);
+        const waitS = option.bootS + group.patienceS;
+        const cost = BAND + press + clamp((option.price / each) * options.rentSteps + waitS * STEP);
         edges.push({
           group: index,
           target: at,
@@ -254,7 +279,7 @@
   });
   for (const target of targets) {
     if (target.slots === 0) continue;
-    if (target.option) {
+    if (target.option || target.step >= 0) {
       net.addArc(target.node, sink, target.slots, 0);
       continue;
     }
@@ -275,7 +300,7 @@
   teamRoom: readonly TeamRoom[],
   result: RoundResult,
 ): number[] {
-  const rooms = targets.map((t) => (t.view ? { ...t.view.free } : null));
+  const rooms = targets.map((t) => (t.view && t.step < 0 ? { ...t.view.free } : null));
   const teams = teamRoom.map((t) => ({ ...t }));
   const demand = new Map<number, number>();
   const dropped: number[] = [];
@@ -294,7 +319,11 @@
         later += count;
         continue;
       }
-      const room = rooms[edge.target]!;
+      const room = rooms[edge.target];
+      if (!room) {
+        later += count;
+        continue;
+      }
       count = Math.min(count, fits(group.need, room), teamFits(group.need, teams[group.team]!));
       if (count <= 0) continue;
       takeRoom(room, group.need, count);
--- a/src/scheduling/view.ts
+++ b/src/scheduling/view.ts
@@ -27,6 +27,8 @@
   image: string;
   imageGb: number;
   avoid: ReadonlySet<number>;
+  /** How much longer than a rented machine's boot the job would rather wait for room on a present one. */
+  patienceS: number;
   /** True while the job fits its team's guarantee together with the team's earlier unfinished jobs. */
   guaranteed: boolean;
 }
@@ -37,6 +39,8 @@
   zone: number;
   spot: boolean;
   free: Room;
+  /** Room that running tasks are expected to leave, soonest first; each entry adds to those before. */
+  leaving: { inS: number; room: Room }[];
   /** Tasks on it. */
   load: number;
   /** 0 for a machine that is up; else seconds until it is expected. */
