--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -18,7 +18,7 @@
 import { applyReport, commandsFor, isNewer, loseAll, type WorkerEvent } from '../workers/reconcile.ts';
 import { runRound } from '../scheduling/round.ts';
 import { pickVictims, type VictimView } from '../scheduling/preempt.ts';
-import type { GroupView, MachineView, Room, TeamRoom } from '../scheduling/view.ts';
+import type { GroupView, MachineView, Room, RoundResult, TeamRoom } from '../scheduling/view.ts';
 
 /** What the leader does to the world; all of it goes through here, so tests can watch. */
 export interface LeaderHost {
@@ -1002,7 +1002,10 @@
     }
     this.fleet.want(result.rents);
     this.fleet.spare(this.idleMachines(), groups.length > 0);
-    this.makeRoom(groups, result.unplaced, result.awaiting, machines, teamRoom);
+    // Seen anew: the placements of this round take room, and what they take is not free for a second time.
+    if (result.unplaced.size + result.awaiting.size > 0) {
+      this.makeRoom(groups, result, this.machineViews(), this.teamRooms());
+    }
     this.log.debug(
       {
         groups: groups.length,
@@ -1045,18 +1048,17 @@
 
   private makeRoom(
     groups: readonly GroupView[],
-    unplaced: ReadonlyMap<number, number>,
-    awaiting: ReadonlyMap<number, number>,
+    result: RoundResult,
     machines: readonly MachineView[],
     teamRoom: readonly TeamRoom[],
   ): void {
     if (!this.deps.options.scheduling.preempt) return;
     const guaranteed = this.guaranteedJobs();
     for (const group of groups) {
-      const waiting = (unplaced.get(group.job) ?? 0) + (awaiting.get(group.job) ?? 0);
+      const waiting = (result.unplaced.get(group.job) ?? 0) + (result.awaiting.get(group.job) ?? 0);
       if (waiting === 0) continue;
       // With room on its way, a guarantee alone is no reason to stop others.
-      const guaranteeAfterMs = unplaced.has(group.job)
+      const guaranteeAfterMs = result.unplaced.has(group.job)
         ? this.deps.options.scheduling.guarantee_after_s * 1000
         : Infinity;
       const victims = pickVictims(
@@ -1066,6 +1068,7 @@
         (index) => this.victims(index, guaranteed),
         teamRoom,
         guaranteeAfterMs,
+        result.reserved,
       );
       for (const a of victims) this.stopOrderly(a, `preempted for ${this.jobList.get(group.job)?.id ?? '?'}`);
     }
--- a/src/scheduling/preempt.ts
+++ b/src/scheduling/preempt.ts
@@ -42,12 +42,16 @@
   victimsOn: (machine: number) => VictimView<T>[],
   teamRoom: readonly TeamRoom[],
   guaranteeAfterMs: number,
+  reserved: ReadonlyMap<number, number>,
 ): T[] {
   let want = Math.min(waiting, teamFits(group.need, teamRoom[group.team]!));
   if (group.gang && want < group.pending) return [];
   const plans: { items: T[]; count: number; loss: number; zone: number }[] = [];
   for (const m of machines) {
     if (m.bootsInS > 0 || group.avoid.has(m.machine)) continue;
+    // A machine kept free for another job would take that job's tasks, and the stopped ones would come to nothing.
+    const holder = reserved.get(m.machine);
+    if (holder !== undefined && holder !== group.job) continue;
     if (m.spot && !group.spot) continue;
     if (group.zone >= 0 && group.zone !== m.zone) continue;
     if (group.types && !group.types.has(m.type)) continue;
