Surplus machines run empty; room is kept for classes that must start soon

Cause: tasks spread thinly over all machines, so none ran empty, and jobs with a start bound found no room.

--- a/src/config/options.ts
+++ b/src/config/options.ts
@@ -47,6 +47,21 @@
       'tenths',
       'cost of a rented machine per unit of hourly price and task',
     ),
+    spare_swing: tunable(
+      1,
+      0,
+      10,
+      'times',
+      'room kept for classes that must start soon, in roots of what arrives during a boot',
+    ),
+    spare_patience_s: tunable(30, 0, 3600, 's', 'wait for room to come before renting for expected tasks'),
+    park_headroom: tunable(
+      0.5,
+      0,
+      100,
+      'machines',
+      'machines of a type beyond the present need that take tasks freely',
+    ),
     preempt: tunable(1, 0, 1, 'flag', '1: tasks of lower rank are stopped to make room'),
   },
   workers: {
@@ -62,7 +77,15 @@
   fleet: {
     patience_share: tunable(0.3, 0, 1, 'share', 'part of its spare time that a job waits rather than rent'),
     patience_max_s: tunable(60, 0, 3600, 's', 'longest such wait'),
-    idle_s: tunable(20, 0, 3600, 's', 'idle time after which a machine is returned'),
+    idle_s: tunable(8, 0, 3600, 's', 'least idle time after which a machine is returned'),
+    idle_boot_share: tunable(0.3, 0, 100, 'share', 'idle time before a return, as a part of the boot time'),
+    least_charge_s: tunable(
+      55,
+      0,
+      3600,
+      's',
+      'a rented machine is kept this long: about the least time charged',
+    ),
     boot_patience: tunable(
       2.5,
       1,
--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -12,13 +12,21 @@
 import { KEYS } from '../store/keys.ts';
 import type { LeaderWriter } from '../store/writer.ts';
 import type { Item, WatchEvent } from '../wire/state.ts';
-import type { JobStatus } from '../wire/user.ts';
+import type { JobRequest, JobStatus } from '../wire/user.ts';
 import type { Command, Report } from '../wire/worker.ts';
 import { attemptKey, Machine, type Attempt, type MachineIdentity } from '../workers/machine.ts';
 import { applyReport, commandsFor, isNewer, loseAll, type WorkerEvent } from '../workers/reconcile.ts';
+import { ArrivalForecast } from '../scheduling/forecast.ts';
 import { runRound } from '../scheduling/round.ts';
 import { pickVictims, type VictimView } from '../scheduling/preempt.ts';
-import type { GroupView, MachineView, Room, RoundResult, TeamRoom } from '../scheduling/view.ts';
+import {
+  fits,
+  type GroupView,
+  type MachineView,
+  type Room,
+  type RoundResult,
+  type TeamRoom,
+} from '../scheduling/view.ts';
 
 /** What the leader does to the world; all of it goes through here, so tests can watch. */
 export interface LeaderHost {
@@ -61,6 +69,8 @@
 }
 
 const ATTEMPTS_PER_TERM = 2 ** 24;
+/** More than any load or preference adds on a present machine. */
+const PARK_STEPS = 2000;
 
 /** Everything one leadership knows. It starts empty and is thrown away whole when the leadership ends. */
 export class Leader {
@@ -72,6 +82,7 @@
   private readonly byIndex: Machine[] = [];
   private readonly gangs = new Map<Job, Gang>();
   private readonly fleet: Fleet;
+  private readonly forecast: ArrivalForecast;
   private readonly usage: { cpus: number; gpus: number }[];
   private loaded = false;
   private readonly startedAt: number;
@@ -88,6 +99,8 @@
   constructor(private readonly deps: LeaderDeps) {
     this.startedAt = deps.host.clock.now();
     this.log = deps.host.log;
+    const waits = deps.settings.settings.objectives.filter((o) => o.kind === 'wait' && o.class);
+    this.forecast = new ArrivalForecast(new Set(waits.map((o) => o.class!)));
     this.usage = deps.teams.map(() => ({ cpus: 0, gpus: 0 }));
     this.fleet = new Fleet({
       clock: deps.host.clock,
@@ -192,6 +205,7 @@
     this.jobs.set(id, job);
     this.jobList.set(index, job);
     this.jobIndex.set(job, index);
+    this.forecast.note(job.spec, record.createdWall);
     this.dirty = true;
     this.log.debug({ job: id, tasks: job.spec.tasks, class: job.spec.className }, 'job taken in');
     return job;
@@ -940,6 +954,7 @@
         oneZone: spec.oneZone,
         zoneCap: spec.spread ? Math.ceil(spec.tasks / 2) : Infinity,
         liveByZone,
+        expected: false,
         waitedMs: now - job.waitingSince,
         image: spec.image,
         imageGb: spec.imageGb,
@@ -951,6 +966,42 @@
     return groups;
   }
 
+  /** Room to keep at hand for classes that must start soon: groups like any other, but nothing is placed. */
+  private expectedGroups(): GroupView[] {
+    const { scheduling } = this.deps.options;
+    const bootOf = (job: JobRequest): number => {
+      let best: { price: number; bootS: number } | null = null;
+      for (const type of this.deps.catalog.types) {
+        if (job.types && !job.types.includes(type.name)) continue;
+        if (fits({ cpus: job.cpus, gpus: job.gpus, memory: job.memory }, type) === 0) continue;
+        if (!best || type.price < best.price) best = type;
+      }
+      return best?.bootS ?? 0;
+    };
+    const expected = this.forecast.expected(this.deps.host.clock.wall(), bootOf, scheduling.spare_swing);
+    return expected.map((e, i) => ({
+      job: -1 - i,
+      team: this.deps.teams.length,
+      pending: e.tasks,
+      gang: false,
+      priority: 0,
+      need: { cpus: e.like.cpus, gpus: e.like.gpus, memory: e.like.memory },
+      types: e.like.types ? new Set(e.like.types.map((t) => this.deps.catalog.typeIndex(t))) : null,
+      zone: -1,
+      spot: e.like.spot,
+      oneZone: false,
+      zoneCap: Infinity,
+      liveByZone: new Map(),
+      expected: true,
+      waitedMs: 0,
+      image: e.like.image,
+      imageGb: 0,
+      avoid: new Set(),
+      patienceS: scheduling.spare_patience_s,
+      guaranteed: false,
+    }));
+  }
+
   private round(): void {
     const now = this.now();
     const { scheduling } = this.deps.options;
@@ -960,6 +1011,7 @@
     this.dirty = false;
     const groups = this.groups();
     const machines = this.machineViews();
+    this.park(machines, groups);
     const { catalog } = this.deps;
     const sizeOf = (type: number) => {
       const t = catalog.types[type];
@@ -968,10 +1020,11 @@
     const teamRoom = this.teamRooms();
     const deadline = now + scheduling.round_limit_ms;
     const result = runRound(
-      groups,
+      [...groups, ...this.expectedGroups()],
       machines,
       this.fleet.rentable(),
-      teamRoom,
+      // Expected tasks have no team yet.
+      [...teamRoom, { cpus: Infinity, gpus: Infinity }],
       sizeOf,
       {
         reserveAfterMs: scheduling.reserve_after_s * 1000,
@@ -1001,7 +1054,7 @@
       this.log.info({ job: job.id, machine: machine.name, tasks: p.count }, 'placed');
     }
     this.fleet.want(result.rents);
-    this.fleet.spare(this.idleMachines(), groups.length > 0);
+    this.fleet.spare(this.idleMachines(result.held));
     // Seen anew: the placements of this round take room, and what they take is not free for a second time.
     if (result.unplaced.size + result.awaiting.size > 0) {
       this.makeRoom(groups, result, this.machineViews(), this.teamRooms());
@@ -1028,11 +1081,46 @@
     gang.members.add(a);
   }
 
-  private idleMachines(): { name: string; type: number; zone: number; spot: boolean; idleMs: number }[] {
+  /**
+   * Marks the machines beyond what the present work needs as dearer than the others, though never as dear as
+   * room to come: they take tasks only when the others are full, and so run empty and can be given back.
+   */
+  private park(machines: readonly MachineView[], groups: readonly GroupView[]): void {
+    const { park_headroom } = this.deps.options.scheduling;
+    const shareOf = (need: Room, size: Room): number =>
+      Math.max(
+        need.cpus / size.cpus,
+        size.gpus > 0 ? need.gpus / size.gpus : 0,
+        size.memory > 0 ? need.memory / size.memory : 0,
+      );
+    this.deps.catalog.types.forEach((size, type) => {
+      const present = machines.filter((m) => m.type === type && m.bootsInS === 0);
+      let need = 0;
+      for (const m of present) {
+        const used = {
+          cpus: size.cpus - m.free.cpus,
+          gpus: size.gpus - m.free.gpus,
+          memory: size.memory - m.free.memory,
+        };
+        need += shareOf(used, size);
+      }
+      for (const g of groups) {
+        if ((g.types && !g.types.has(type)) || fits(g.need, size) === 0) continue;
+        need += g.pending / fits(g.need, size);
+      }
+      const active = Math.ceil(need + park_headroom);
+      present.sort((a, b) => a.price - b.price || b.load - a.load || a.machine - b.machine);
+      for (const m of present.slice(active)) m.penalty += PARK_STEPS;
+    });
+  }
+
+  private idleMachines(
+    held: ReadonlySet<number>,
+  ): { name: string; type: number; zone: number; spot: boolean; idleMs: number }[] {
     const now = this.now();
     const idle = [];
     for (const m of this.machines.values()) {
-      if (m.returning || m.liveCount > 0 || !m.accounted) continue;
+      if (m.returning || m.liveCount > 0 || !m.accounted || held.has(m.index)) continue;
       idle.push({ name: m.name, type: m.type, zone: m.zone, spot: m.id.spot, idleMs: now - m.idleSince });
     }
     return idle;
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -55,6 +55,7 @@
 export class Fleet {
   private readonly options: RentOption[] = [];
   private readonly bootingByName = new Map<string, Booting>();
+  private readonly rentedAt = new Map<string, number>();
   private bootIndex = 0;
   private requestCount = 0;
   private readonly returning = new Map<string, number>();
@@ -168,6 +169,7 @@
     rentedAt: number,
   ): void {
     const { type, zone, spot } = place;
+    this.rentedAt.set(name, rentedAt);
     this.bootingByName.set(name, { index: this.bootIndex++, name, type, zone, spot, rentedAt });
   }
 
@@ -202,10 +204,20 @@
     this.deps.returning(names);
   }
 
-  /** Gives idle machines back. */
-  spare(idle: readonly IdleMachine[], waiting: boolean): void {
-    const limit = this.deps.options.fleet.idle_s * 1000 * (waiting ? 1.5 : 1);
-    const names = idle.filter((m) => m.idleMs > limit).map((m) => m.name);
+  /**
+   * Gives idle machines back. What takes long to boot is kept a little longer, since renting it anew costs
+   * that time again; within the least time that is charged anyway nothing is gained by returning.
+   */
+  spare(idle: readonly IdleMachine[]): void {
+    const { idle_s, idle_boot_share, least_charge_s } = this.deps.options.fleet;
+    const now = this.deps.clock.now();
+    const names: string[] = [];
+    for (const m of idle) {
+      const bootS = this.deps.catalog.types[m.type]?.bootS ?? 0;
+      const rentedAt = this.rentedAt.get(m.name) ?? -Infinity;
+      if (now - rentedAt < least_charge_s * 1000) continue;
+      if (m.idleMs > Math.max(idle_s, bootS * idle_boot_share) * 1000) names.push(m.name);
+    }
     if (names.length === 0) return;
     this.deps.log.info({ machines: names }, 'idle machines, returned');
     this.giveBack(names);
@@ -254,6 +266,7 @@
         }
         this.returning.delete(name);
         this.bootingByName.delete(name);
+        this.rentedAt.delete(name);
         this.returned.set(name, this.deps.clock.now());
       }
       if (done) this.deps.gone(batch);
--- a/src/scheduling/round.ts
+++ b/src/scheduling/round.ts
@@ -30,7 +30,7 @@
 /** Costs on present machines stay below one band, those of room that is yet to come below the second. */
 const BAND = 100_000;
 /** Dearer than any machine, whatever the group's urgency adds. */
-const UNSCHEDULED = 20 * BAND;
+const UNSCHEDULED = 30 * BAND;
 
 /** A machine's free room, a part of its room that running tasks will leave, or a machine that could be rented. */
 interface Target {
@@ -146,8 +146,10 @@
 }
 
 function urgency(group: GroupView): number {
+  if (group.expected) return 0;
   // Rank first, then a team's guarantee, then who waited longest.
   return (
+    BAND +
     group.priority * 2 * BAND +
     (group.guaranteed ? BAND : 0) +
     Math.min(BAND - 1, Math.round(group.waitedMs / 10))
@@ -174,6 +176,7 @@
     rents: new Map(),
     awaiting: new Map(),
     unplaced: new Map(),
+    held: new Set(),
     reserved: reserve(groups, machines, sizeOf, options),
     cut: ordered.length > groups.length,
   };
@@ -200,6 +203,7 @@
   result.placements = [];
   result.rents.clear();
   result.awaiting.clear();
+  result.held.clear();
   const net = new FlowNetwork();
   const source = net.addNode();
   const sink = net.addNode();
@@ -337,6 +341,10 @@
       total += count;
     }
     for (const want of wants) demand.set(want.option, (demand.get(want.option) ?? 0) + want.machines);
+    if (group.expected) {
+      for (const p of placed) result.held.add(p.machine);
+      return;
+    }
     if (later > 0) result.awaiting.set(group.job, later);
     const missing = group.pending - total - later;
     if (missing > 0) result.unplaced.set(group.job, missing);
--- a/src/scheduling/view.ts
+++ b/src/scheduling/view.ts
@@ -23,6 +23,8 @@
   zoneCap: number;
   /** Tasks of the job that are or may be on machines, by zone. */
   liveByZone: Map<number, number>;
+  /** Tasks that are only expected: they hold room and rent, but nothing is placed for them. */
+  expected: boolean;
   waitedMs: number;
   image: string;
   imageGb: number;
@@ -86,6 +88,8 @@
   unplaced: Map<number, number>;
   /** Machines kept free for a job that waits long. */
   reserved: Map<number, number>;
+  /** Machines with room that is kept for expected tasks. */
+  held: Set<number>;
   cut: boolean;
 }
 
--- a/test/helpers.ts
+++ b/test/helpers.ts
@@ -29,6 +29,7 @@
     oneZone: false,
     zoneCap: Infinity,
     liveByZone: new Map(),
+    expected: false,
     waitedMs: 0,
     image: 'i',
     imageGb: 0,
