--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -6,7 +6,7 @@
 import type { TeamLimits } from '../jobs/admission.ts';
 import type { Catalog } from '../fleet/catalog.ts';
 import { Fleet } from '../fleet/fleet.ts';
-import type { CloudClient } from '../fleet/cloud.ts';
+import type { Cloud } from '../fleet/cloud.ts';
 import { ASSIGNED, Job } from '../jobs/job.ts';
 import { chunkValue, finalValue, readChunk, readOpen } from '../jobs/records.ts';
 import { KEYS } from '../store/keys.ts';
@@ -44,6 +44,7 @@
   isFinal(id: string): boolean;
   /** Something changed: schedule a batch. */
   post(command: () => void): void;
+  pause(ms: number): Promise<void>;
   superseded(): void;
 }
 
@@ -62,7 +63,7 @@
   teams: readonly TeamLimits[];
   zones: Intern;
   catalog: Catalog;
-  cloud: CloudClient;
+  cloud: Cloud;
   writer: LeaderWriter;
   term: number;
   graceMs: number;
@@ -114,6 +115,7 @@
       post: (command) => {
         deps.host.post(command);
       },
+      pause: (ms) => deps.host.pause(ms),
       returning: (names) => {
         this.markReturning(names);
       },
@@ -348,6 +350,10 @@
     };
     machine.attempts.set(attemptKey(a.jobId, task, number), a);
     machine.pushAfter = 0;
+    const rate = this.deps.catalog.types[machine.type]?.fetchGbPerS ?? 0;
+    if (!machine.images.has(job.spec.image) && rate > 0) {
+      machine.images.set(job.spec.image, this.now() + (job.spec.imageGb / rate) * 1000);
+    }
     this.hold(a);
     job.waitingSince = this.now();
     return a;
@@ -709,7 +715,7 @@
     if (this.probing.has(m) || m.id.address === '') return;
     this.probing.add(m);
     void this.deps.host.inspect(m).then((report) => {
-      setTimeout(() => this.probing.delete(m), 800);
+      void this.deps.host.pause(800).then(() => this.probing.delete(m));
       if (report) {
         this.deps.host.post(() => {
           if (!this.stopped && this.machines.has(report.machine)) this.takeReport(report, true);
@@ -864,8 +870,11 @@
         leaving: this.leavingOf(m, now),
         load: m.liveCount,
         bootsInS: 0,
-        hasImage: (image) => m.images.has(image),
-        fetchGbPerS: type.fetchGbPerS,
+        fetchS: (image, gb) => {
+          const readyAt = m.images.get(image);
+          if (readyAt === undefined) return type.fetchGbPerS > 0 ? gb / type.fetchGbPerS : 0;
+          return Math.max(0, readyAt - now) / 1000;
+        },
         penalty: m.errors * 5,
         price: m.id.spot ? type.spotPrice : type.price,
       });
@@ -881,8 +890,7 @@
         leaving: [],
         load: 0,
         bootsInS: Math.max(1, type.bootS - (now - b.rentedAt) / 1000),
-        hasImage: () => false,
-        fetchGbPerS: type.fetchGbPerS,
+        fetchS: (_image, gb) => (type.fetchGbPerS > 0 ? gb / type.fetchGbPerS : 0),
         penalty: 0,
         price: b.spot ? type.spotPrice : type.price,
       });
--- a/src/core/service.ts
+++ b/src/core/service.ts
@@ -205,6 +205,7 @@
         post: (command) => {
           this.owner.post(command);
         },
+        pause,
         superseded: () => {
           this.election.stepDown('a worker has seen a higher token');
         },
--- a/src/fleet/cloud.ts
+++ b/src/fleet/cloud.ts
@@ -10,11 +10,23 @@
   /** It may have been carried out; repeating it with the same name tells. */
   | { kind: 'unknown' };
 
+/** What the fleet needs of a cloud. */
+export interface Cloud {
+  /** True if a call can be made now without going over the rate. */
+  ready(reserve?: number): boolean;
+  catalog(): Promise<wire.MachineTypeInfo[] | null>;
+  rent(request: wire.RentRequest): Promise<RentResult>;
+  /** True: the machines and everything on them are gone. */
+  giveBack(names: readonly string[]): Promise<boolean>;
+  /** All machines listed, or null if any page could not be read. */
+  list(): Promise<wire.ListedMachine[] | null>;
+}
+
 const TIMEOUT_MS = 4000;
 const LIST_PAGE = 500;
 
 /** The cloud by its published protocol, within its request rate. */
-export class CloudClient {
+export class CloudClient implements Cloud {
   private readonly http: HttpClient;
   private readonly budget: RateBudget;
 
@@ -29,7 +41,6 @@
     this.budget = new RateBudget(rps * 0.8, now);
   }
 
-  /** True if a call can be made now without going over the rate. */
   ready(reserve = 0): boolean {
     return this.budget.waitMs(1 + reserve) === 0;
   }
@@ -57,7 +68,6 @@
     return { kind: 'unknown' };
   }
 
-  /** True: the machines and everything on them are gone. */
   async giveBack(names: readonly string[]): Promise<boolean> {
     this.budget.take();
     const result = await this.http.send(
@@ -69,7 +79,6 @@
     return result.kind === 'answer' && result.status === 200;
   }
 
-  /** All machines listed, or null if any page could not be read. */
   async list(): Promise<wire.ListedMachine[] | null> {
     const machines: wire.ListedMachine[] = [];
     let after = '';
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -4,18 +4,19 @@
 import type { Options } from '../config/options.ts';
 import type { OptionView } from '../scheduling/view.ts';
 import type { Catalog } from './catalog.ts';
-import type { CloudClient } from './cloud.ts';
+import type { Cloud } from './cloud.ts';
 
 export interface FleetDeps {
   clock: Clock;
   log: Logger;
-  cloud: CloudClient;
+  cloud: Cloud;
   catalog: Catalog;
   zones: Intern;
   options: Options;
   term: number;
   listLagS: number;
   post(command: () => void): void;
+  pause(ms: number): Promise<void>;
   returning(names: readonly string[]): void;
   gone(names: readonly string[]): void;
 }
@@ -155,7 +156,7 @@
         return;
       }
       // Not known whether it was carried out: the same name again tells, and rents nothing twice.
-      await new Promise((resolve) => setTimeout(resolve, 700 * (attempt + 1)));
+      await this.deps.pause(700 * (attempt + 1));
     }
     this.deps.post(() => {
       option.asking = 0;
--- a/src/scheduling/round.ts
+++ b/src/scheduling/round.ts
@@ -65,7 +65,7 @@
 
 /** A task's cost on a machine besides its load: the image, the price of a type it doesn't need, known faults. */
 function machineCost(group: GroupView, m: MachineView, cheapest: number, options: RoundOptions): number {
-  const fetchS = m.hasImage(group.image) || m.fetchGbPerS <= 0 ? 0 : group.imageGb / m.fetchGbPerS;
+  const fetchS = m.fetchS(group.image, group.imageGb);
   const dearer = Math.max(0, m.price - cheapest);
   return (fetchS * options.fetchSteps + dearer * options.priceSteps + m.penalty) * STEP;
 }
@@ -88,7 +88,7 @@
     const count = fits(group.need, m.free);
     if (count === 0) continue;
     if (m.bootsInS === 0) now.set(m.zone, (now.get(m.zone) ?? 0) + count);
-    const image = m.hasImage(group.image) ? 0.5 : 0;
+    const image = m.fetchS(group.image, group.imageGb) === 0 ? 0.5 : 0;
     add(
       m.zone,
       m.bootsInS === 0 ? Math.min(count, group.pending) * (2 + image) : Math.min(count, group.pending),
--- a/src/scheduling/view.ts
+++ b/src/scheduling/view.ts
@@ -47,8 +47,8 @@
   load: number;
   /** 0 for a machine that is up; else seconds until it is expected. */
   bootsInS: number;
-  hasImage: (image: string) => boolean;
-  fetchGbPerS: number;
+  /** Seconds until an image is there: 0 if cached, what is left of a fetch under way, else the whole fetch. */
+  fetchS: (image: string, gb: number) => number;
   /** Extra cost in steps, for machines known as slow or faulty. */
   penalty: number;
   price: number;
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -61,8 +61,9 @@
   readonly firstSeenAt: number;
   pushing = false;
   pushAfter = 0;
+  /** Images it has or fetches, with the time at which each is expected to be there. */
   readonly images = new Map<string, number>();
-  /** Measured speed against the estimates: see `Speed`. */
+
   constructor(
     readonly index: number,
     readonly id: MachineIdentity,
