--- a/src/config/options.ts
+++ b/src/config/options.ts
@@ -31,7 +31,7 @@
     max_groups: tunable(64, 1, 10_000, 'groups', 'groups in one round; others wait for the next'),
     reserve_after_s: tunable(60, 1, 3600, 's', 'a job that waited longer keeps its nearest machines free'),
     finish_batch_ms: tunable(500, 500, 10_000, 'ms', 'least time between two writes of finished tasks'),
-    fetch_steps: tunable(1, 0, 1000, 'steps/s', 'cost of a second of image fetch, in tasks of load'),
+    fetch_steps: tunable(3, 0, 1000, 'steps/s', 'cost of a second of image fetch, in tasks of load'),
     price_steps: tunable(3, 0, 1000, 'steps', 'cost of each unit of hourly price over the cheapest type'),
     guarantee_after_s: tunable(
       60,
@@ -48,7 +48,7 @@
       'cost of a rented machine per unit of hourly price and task',
     ),
     spare_swing: tunable(
-      1,
+      2,
       0,
       10,
       'times',
