--- /dev/null
+++ b/standins/http.ts
@@ -0,0 +1,38 @@
+import { createServer, type Server } from 'node:http';
+
+export interface Answer {
+  status: number;
+  body: unknown;
+}
+
+export type Route = (method: string, url: URL, body: Record<string, unknown>) => Answer | Promise<Answer>;
+
+/** A small JSON server on a port that the system chooses. */
+export function serveJson(route: Route): Promise<{ server: Server; address: string }> {
+  const server = createServer((req, res) => {
+    const chunks: Buffer[] = [];
+    req.on('data', (c: Buffer) => chunks.push(c));
+    req.on('end', () => {
+      const text = Buffer.concat(chunks).toString('utf8');
+      let body: Record<string, unknown> = {};
+      try {
+        if (text) body = JSON.parse(text) as Record<string, unknown>;
+      } catch {
+        res.writeHead(400).end('{}');
+        return;
+      }
+      void Promise.resolve(route(req.method ?? 'GET', new URL(req.url ?? '/', 'http://x'), body)).then(
+        (a) => {
+          res.writeHead(a.status, { 'content-type': 'application/json' });
+          res.end(JSON.stringify(a.body));
+        },
+      );
+    });
+  });
+  return new Promise((resolve) => {
+    server.listen(0, '127.0.0.1', () => {
+      const at = server.address();
+      resolve({ server, address: `127.0.0.1:${typeof at === 'object' && at ? at.port : 0}` });
+    });
+  });
+}
