--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -323,6 +323,7 @@
       this.liveOf.set(a.job, live);
     }
     live.add(a);
+    a.job.holders.set(a.task, (a.job.holders.get(a.task) ?? 0) + 1);
     const use = this.usage[a.job.team]!;
     use.cpus += a.job.spec.cpus;
     use.gpus += a.job.spec.gpus;
@@ -432,6 +433,9 @@
       if (a.cause === 'done') this.taskDone(job, a.task);
       return;
     }
+    const others = job.holders.get(a.task)! - 1;
+    if (others > 0) job.holders.set(a.task, others);
+    else job.holders.delete(a.task);
     const use = this.usage[job.team]!;
     use.cpus -= job.spec.cpus;
     use.gpus -= job.spec.gpus;
@@ -452,7 +456,7 @@
     if (a.cause === 'done') {
       if (gang) for (let task = 0; task < job.spec.tasks; task++) job.markDone(task);
       this.taskDone(job, a.task);
-    } else if (job.state[a.task] === ASSIGNED) {
+    } else if (job.state[a.task] === ASSIGNED && others === 0) {
       job.giveBack(a.task, this.now());
       if (a.cause === 'error') this.onError(job, a.machine);
       else if (a.cause === 'unknown') job.notBefore = this.now() + 2000;
@@ -860,9 +864,11 @@
     for (const m of this.machines.values()) {
       const type = this.deps.catalog.types[m.type];
       if (!type || m.returning || m.draining || m.takenAt !== null) continue;
-      if (!m.rostered || m.token !== this.term || m.session === 0 || m.sessionOver) continue;
+      if (m.session === 0 || m.sessionOver) continue;
       const reportMs = this.deps.settings.settings.workers.report_s * 1000;
       if (now - m.heardAt > reportMs * 1.6) continue;
+      // Up, but not yet written to the roster or not yet under our token: that takes a moment, no new machine.
+      const ready = m.rostered && m.token === this.term;
       if (m.errors >= 3 && now - m.lastErrorAt < 60_000) continue;
       views.push({
         machine: m.index,
@@ -872,7 +878,7 @@
         free: this.freeOf(m),
         leaving: this.leavingOf(m, now),
         load: m.liveCount,
-        bootsInS: 0,
+        bootsInS: ready ? 0 : 1,
         fetchS: (image, gb) => {
           const readyAt = m.images.get(image);
           if (readyAt === undefined) return type.fetchGbPerS > 0 ? gb / type.fetchGbPerS : 0;
@@ -1043,6 +1049,7 @@
         fetchSteps: scheduling.fetch_steps,
         priceSteps: scheduling.price_steps,
         rentSteps: scheduling.rent_steps,
+        rentBiasS: scheduling.rent_bias_s,
       },
       () => this.now() > deadline,
     );
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -86,8 +86,20 @@
     });
   }
 
-  booting(): Iterable<Booting> {
-    return [...this.bootingByName.values()].filter((b) => !this.returning.has(b.name));
+  /**
+   * Machines on their way, those among them that the cloud was asked for and has not answered about: without
+   * them every round during the call would ask for the same room again, of another kind or zone.
+   */
+  booting(): Booting[] {
+    const found = [...this.bootingByName.values()].filter((b) => !this.returning.has(b.name));
+    const now = this.deps.clock.now();
+    for (const o of this.options) {
+      for (let i = 0; i < o.asking; i++) {
+        const index = this.bootIndex + found.length;
+        found.push({ index, name: '', type: o.type, zone: o.zone, spot: o.spot, rentedAt: now });
+      }
+    }
+    return found;
   }
 
   /** Options of the flow graph: machines that could be rented now. */
--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -32,6 +32,11 @@
   /** Failures in a row without a task done: a job that fails everywhere must not burn machines. */
   failures = 0;
   notBefore = 0;
+  /**
+   * How many attempts hold a task. After a takeover a late report can show a task on a machine that is gone
+   * while it runs elsewhere: the end of one of the two must not free the task.
+   */
+  readonly holders = new Map<number, number>();
   /** Machines (by index) on which a task of this job failed. */
   readonly avoid = new Set<number>();
   /** When the job began to wait, on the steady clock; moves on whenever a task is placed. */
--- a/src/scheduling/round.ts
+++ b/src/scheduling/round.ts
@@ -17,6 +17,8 @@
   reserveAfterMs: number;
   /** Groups in one round; the others wait for the next. */
   maxGroups: number;
+  /** Seconds that room of a machine already paid for may come later than that of one rented for it. */
+  rentBiasS: number;
   /** Cost steps per second of image fetch. */
   fetchSteps: number;
   /** Cost per unit of hourly price and task of a machine to be rented. */
@@ -39,7 +41,9 @@
   /** Index into `leaving` of the view, or -1 for the room that is free now. */
   step: number;
   option: OptionView | null;
+  /** Tasks it takes in all, and tasks that could go there. */
   slots: number;
+  wanted: number;
 }
 
 /** Free room of a machine once the first `steps` of its running tasks have left. */
@@ -65,9 +69,13 @@
 
 /** A task's cost on a machine besides its load: the image, the price of a type it doesn't need, known faults. */
 function machineCost(group: GroupView, m: MachineView, cheapest: number, options: RoundOptions): number {
-  const fetchS = m.fetchS(group.image, group.imageGb);
+  const fetch = m.fetchS(group.image, group.imageGb);
   const dearer = Math.max(0, m.price - cheapest);
-  return (fetchS * options.fetchSteps + dearer * options.priceSteps + m.penalty) * STEP;
+  return (fetch * options.fetchSteps + dearer * options.priceSteps + m.penalty) * STEP;
+}
+
+function fetchS(group: GroupView, option: OptionView): number {
+  return option.fetchGbPerS > 0 ? group.imageGb / option.fetchGbPerS : 0;
 }
 
 /** The one zone for a group that must stay together: where its tasks are, else where most fits, else cheapest. */
@@ -211,11 +219,11 @@
   const targets: Target[] = [];
   for (const view of machines) {
     for (let step = -1; step < view.leaving.length; step++) {
-      targets.push({ node: net.addNode(), view, step, option: null, slots: 0 });
+      targets.push({ node: net.addNode(), view, step, option: null, slots: 0, wanted: 0 });
     }
   }
   for (const option of rentable)
-    targets.push({ node: net.addNode(), view: null, step: -1, option, slots: 0 });
+    targets.push({ node: net.addNode(), view: null, step: -1, option, slots: 0, wanted: 0 });
   const edges: Edge[] = [];
   let supply = 0;
 
@@ -263,32 +271,39 @@
         if (count <= 0) return;
         const own = machineCost(group, view, cheapest, options);
         const later = step < 0 ? view.bootsInS : view.leaving[step]!.inS;
-        const cost = later > 0 ? BAND + press + clamp(own / 10 + later * STEP) : clamp(own);
+        const cost =
+          later > 0
+            ? BAND + press + clamp((view.fetchS(group.image, group.imageGb) + later) * STEP)
+            : clamp(own);
         edges.push({ group: index, target: at, arc: net.addArc(entry(view.zone), target.node, count, cost) });
-        target.slots = Math.max(target.slots, count);
+        // Room for all groups together, not for the largest one: a machine once took no more than that in a round.
+        target.slots = Math.max(target.slots, fits(group.need, roomAfter(view, step + 1)) - before);
+        target.wanted += count;
       } else if (option) {
         const each = fits(group.need, option.size);
         const count = Math.min(wanted, each * option.max);
         if (count === 0) return;
-        const waitS = option.bootS + group.patienceS;
+        const waitS = option.bootS + fetchS(group, option) + group.patienceS + options.rentBiasS;
         const cost = BAND + press + clamp((option.price / each) * options.rentSteps + waitS * STEP);
         edges.push({
           group: index,
           target: at,
           arc: net.addArc(entry(option.zone), target.node, count, cost),
         });
-        target.slots = Math.max(target.slots, count);
+        target.slots = Math.max(target.slots, each * option.max);
+        target.wanted += count;
       }
     });
   });
   for (const target of targets) {
-    if (target.slots === 0) continue;
+    const slots = Math.min(target.slots, target.wanted);
+    if (slots === 0) continue;
     if (target.option || target.step >= 0) {
-      net.addArc(target.node, sink, target.slots, 0);
+      net.addArc(target.node, sink, slots, 0);
       continue;
     }
     const load = target.view!.load;
-    for (let k = 0; k < target.slots; k++) net.addArc(target.node, sink, 1, (load + k) * STEP);
+    for (let k = 0; k < slots; k++) net.addArc(target.node, sink, 1, (load + k) * STEP);
   }
   net.addArc(unscheduled, sink, supply, 0);
   net.solve(source, sink, supply, expired);
--- a/test/scheduling/round.test.ts
+++ b/test/scheduling/round.test.ts
@@ -12,6 +12,7 @@
   fetchSteps: 1,
   priceSteps: 3,
   rentSteps: 30,
+  rentBiasS: 0,
 };
 const SIZE: Room = { cpus: 4, gpus: 0, memory: 16 };
 const FREE_TEAM = [{ cpus: Infinity, gpus: Infinity }];
@@ -110,6 +111,15 @@
   assert.equal(result.rents.get(0), 1);
 });
 
+test('a machine takes tasks of several groups in one round', () => {
+  // Its arc to the sink once carried only as many as the largest group, and machines were rented for the rest.
+  const groups = [0, 1].map((job) => group({ job, pending: 2 }));
+  const booting = runRound(groups, [machine({ bootsInS: 5 })], [option()], FREE_TEAM, sizeOf, OPTIONS);
+  assert.equal(booting.rents.size, 0);
+  const present = runRound(groups, [machine()], [option()], FREE_TEAM, sizeOf, OPTIONS);
+  assert.equal(present.placements.length, 2);
+});
+
 test('a job with patience waits for room that is about to come instead of renting', () => {
   const views = [
     machine({
