--- a/src/core/service.ts
+++ b/src/core/service.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from 'node:crypto';
 import type { Options } from '../config/options.ts';
 import type { Settings } from '../config/settings.ts';
-import { Catalog } from '../fleet/catalog.ts';
+import { Catalog, catalogValue, readCatalogValue } from '../fleet/catalog.ts';
 import { CloudClient } from '../fleet/cloud.ts';
 import { AdaptiveLimit } from '../http/limit.ts';
 import { failure, listen, type HttpRequest, type Reply } from '../http/server.ts';
@@ -139,12 +139,23 @@
 
   private async readCatalog(): Promise<void> {
     for (let pauseMs = 300; !this.catalog; pauseMs = Math.min(3000, pauseMs * 2)) {
+      // Both are asked at once: a node that starts while the cloud is in trouble must still be able to lead.
+      void this.store.get(KEYS.catalog, 'user').then((kept) => {
+        if (kept.kind === 'ok' && kept.value) this.catalog ??= readCatalogValue(kept.value.value);
+      });
       const types = await this.cloud.catalog();
-      if (types) this.catalog = new Catalog(types);
+      if (types) this.catalog ??= new Catalog(types);
       else await new Promise((resolve) => setTimeout(resolve, pauseMs));
     }
   }
 
+  /** Keeps the catalog in the store, if it fits a value there. */
+  private keepCatalog(writer: LeaderWriter): void {
+    const value = catalogValue(this.catalog!);
+    if (JSON.stringify(value).length > this.settings.settings.state.value_kb * 1000) return;
+    writer.push({ changes: [{ put: KEYS.catalog, value }], done: () => undefined }, false);
+  }
+
   // ---- leadership ----
 
   private localLeader(): LocalLeader | null {
@@ -221,6 +232,7 @@
       graceMs: this.graceMs,
     });
     this.leader = leader;
+    this.keepCatalog(writer);
     let revision = -1;
     while (this.isCurrent(held) && revision < 0) {
       const open = await this.store.list(KEYS.openPrefix, 'lease');
--- a/src/fleet/catalog.ts
+++ b/src/fleet/catalog.ts
@@ -1,3 +1,4 @@
+import * as z from 'zod/mini';
 import type { MachineTypeInfo } from '../wire/cloud.ts';
 import { Intern } from '../core/intern.ts';
 
@@ -13,3 +14,30 @@
     return this.names.find(name);
   }
 }
+
+const record = z.object({
+  types: z.array(
+    z.object({
+      name: z.string(),
+      cpus: z.number(),
+      gpus: z.number(),
+      memory: z.number(),
+      cacheGb: z.number(),
+      fetchGbPerS: z.number(),
+      price: z.number(),
+      spotPrice: z.number(),
+      bootS: z.number(),
+      zones: z.array(z.string()),
+    }),
+  ),
+});
+
+/** The catalog as it is kept in the store. */
+export function catalogValue(catalog: Catalog): { types: readonly MachineTypeInfo[] } {
+  return { types: catalog.types };
+}
+
+export function readCatalogValue(value: unknown): Catalog | null {
+  const read = record.safeParse(value);
+  return read.success && read.data.types.length > 0 ? new Catalog(read.data.types) : null;
+}
--- a/src/store/keys.ts
+++ b/src/store/keys.ts
@@ -3,6 +3,8 @@
   leader: 'leader',
   term: 'term',
   fence: 'fence',
+  /** The machine types as a leader last read them, for nodes that start while the cloud is in trouble. */
+  catalog: 'catalog',
   openPrefix: 'o/',
   open: (id: string) => `o/${id}`,
   final: (id: string) => `f/${id}`,
