--- a/src/scheduling/forecast.ts
+++ b/src/scheduling/forecast.ts
@@ -15,6 +15,7 @@
 const WINDOW_MS = 300_000;
 /** Before this much has been watched, a rate would be a guess from too little. */
 const SETTLE_MS = 60_000;
+const QUIET_GAPS = 6;
 
 /**
  * What is likely to arrive while a machine boots, for classes whose tasks are expected to start within a
@@ -45,10 +46,12 @@
   expected(nowMs: number, bootS: (job: JobRequest) => number, swing: number): Expected[] {
     const found: Expected[] = [];
     for (const history of this.classes.values()) {
-      while (history.arrivals.length > 0 && nowMs - history.arrivals[0]! > WINDOW_MS)
-        history.arrivals.shift();
-      const spanMs = Math.min(WINDOW_MS, Math.max(SETTLE_MS, nowMs - this.firstAt));
+      const last = history.arrivals.at(-1)!;
+      while (last - history.arrivals[0]! > WINDOW_MS) history.arrivals.shift();
+      const spanMs = Math.min(WINDOW_MS, Math.max(SETTLE_MS, last - this.firstAt));
       const perMs = history.arrivals.length / spanMs;
+      // When the class has gone quiet for much longer than its usual gap, room kept for it is paid for nothing.
+      if (nowMs - last > QUIET_GAPS / perMs) continue;
       const jobs = swing * Math.sqrt(perMs * bootS(history.latest) * 1000);
       const mean = history.tasks.reduce((a, b) => a + b, 0) / history.tasks.length;
       const tasks = Math.round(jobs * mean);
