--- a/src/config/options.ts
+++ b/src/config/options.ts
@@ -76,6 +76,7 @@
     save_margin_s: tunable(4, 0, 60, 's', 'time kept beside the saving time when a machine is taken away'),
   },
   fleet: {
+    takeover_rent_s: tunable(4, 0, 300, 's', 'wait of a new leader before it rents'),
     patience_share: tunable(0.3, 0, 1, 'share', 'part of its spare time that a job waits rather than rent'),
     patience_max_s: tunable(60, 0, 3600, 's', 'longest such wait'),
     idle_s: tunable(8, 0, 3600, 's', 'least idle time after which a machine is returned'),
--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -191,6 +191,15 @@
     );
   }
 
+  /**
+   * Renting needs no wait for what may still run: it starts once all that exists is known, so that machines
+   * boot while the new leader waits before it places.
+   */
+  private mayRent(): boolean {
+    const waitMs = this.deps.options.fleet.takeover_rent_s * 1000;
+    return this.loaded && this.fleet.listed && this.now() - this.startedAt >= waitMs && this.allAccounted();
+  }
+
   // ---- jobs ----
 
   private addJob(id: string, value: unknown, inherited: boolean): Job | null {
@@ -625,7 +634,9 @@
     this.watchMachines();
     if (this.mayPlace()) {
       this.checkGangs();
-      this.round();
+      this.round(true);
+    } else if (this.mayRent() && this.deps.host.surelyLeading()) {
+      this.round(false);
     }
     this.pushOrders();
   }
@@ -1018,7 +1029,7 @@
     }));
   }
 
-  private round(): void {
+  private round(place: boolean): void {
     const now = this.now();
     const { scheduling } = this.deps.options;
     const due = this.dirty ? scheduling.round_gap_ms : 1000;
@@ -1052,6 +1063,8 @@
       },
       () => this.now() > deadline,
     );
+    this.fleet.want(result.rents);
+    if (!place) return;
     const gangNumbers = new Map<number, number>();
     for (const p of result.placements) {
       const job = this.jobList.get(p.job)!;
@@ -1070,7 +1083,6 @@
       }
       this.log.info({ job: job.id, machine: machine.name, tasks: p.count }, 'placed');
     }
-    this.fleet.want(result.rents);
     this.fleet.spare(this.idleMachines(result.held));
     // Seen anew: the placements of this round take room, and what they take is not free for a second time.
     if (result.unplaced.size + result.awaiting.size > 0) {
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -63,11 +63,12 @@
   private returnBusy = false;
   private readonly returned = new Map<string, number>();
   private listBusy = false;
-  private lastListAt: number;
+  /** The machine list has been read at least once by this leader. */
+  listed = false;
+  private lastListAt = -Infinity;
   private lastCatalogAt: number;
 
   constructor(private readonly deps: FleetDeps) {
-    this.lastListAt = deps.clock.now();
     this.lastCatalogAt = deps.clock.now();
     deps.catalog.types.forEach((type, t) => {
       for (const zone of type.zones) {
@@ -297,6 +298,7 @@
       this.deps.post(() => {
         this.listBusy = false;
         if (!machines) return;
+        this.listed = true;
         const at = this.deps.clock.now();
         for (const m of machines) {
           // The list lags, so what was returned lately may still stand in it.
--- a/src/leadership/election.ts
+++ b/src/leadership/election.ts
@@ -24,6 +24,8 @@
   renewMs: number;
 }
 
+const MOST_DELAY_MS = 120;
+
 /** How long a renewal that was sent at a given moment surely holds, on our own steady clock. */
 export function validUntil(sentAt: number, ttlMs: number): number {
   return sentAt + ttlMs * (1 - DRIFT) - 20;
@@ -38,6 +40,7 @@
   private surelyUntil = -Infinity;
   private knownLeader: string | null = null;
   private stopped = false;
+  private startedAt = 0;
 
   constructor(
     private readonly node: string,
@@ -51,6 +54,7 @@
   ) {}
 
   start(): void {
+    this.startedAt = this.clock.now();
     void this.follow();
   }
 
@@ -140,7 +144,9 @@
   }
 
   private async contend(): Promise<void> {
-    await this.pause(this.random() * 60);
+    // When controllers are restarted one after the other, one that has just been is the safest choice.
+    const upS = (this.clock.now() - this.startedAt) / 1000;
+    await this.pause(Math.min(MOST_DELAY_MS, upS / 2) + this.random() * 20);
     const term = await this.store.get(KEYS.term, 'lease');
     if (term.kind !== 'ok') return this.pause(100);
     const before = term.value === null ? null : termRecord.safeParse(term.value.value);
