--- a/src/config/options.ts
+++ b/src/config/options.ts
@@ -63,6 +63,7 @@
       'machines of a type beyond the present need that take tasks freely',
     ),
     rent_bias_s: tunable(10, 0, 3600, 's', 'how much later room that is paid for may come than rented room'),
+    estimate_margin: tunable(1.1, 0.1, 10, 'times', 'what the run time estimates are multiplied by'),
     preempt: tunable(1, 0, 1, 'flag', '1: tasks of lower rank are stopped to make room'),
   },
   workers: {
--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -847,25 +847,32 @@
   }
 
   /**
-   * How long a job can wait beyond the boot of a rented machine without missing what is expected of its class:
-   * a part of what is left of its time once fetching, booting and running are taken off.
+   * Seconds that a job can still wait without missing the next thing expected of its class, or -1 if it has
+   * missed them all. Estimates are often too low, so a part is added.
    */
-  private patienceOf(job: Job): number {
+  private slackOf(job: Job): number {
     const { spec } = job;
     const ageS = (this.deps.host.clock.wall() - job.createdWall) / 1000;
+    const runS = spec.estimateS * this.deps.options.scheduling.estimate_margin;
     let slack = Infinity;
+    let watched = false;
     for (const o of this.deps.settings.settings.objectives) {
       if (o.class !== spec.className) continue;
-      if (o.kind === 'wait' && o.within_s) slack = Math.min(slack, Math.max(0, o.within_s - ageS));
-      if (o.kind === 'finished' && o.within_s) slack = Math.min(slack, o.within_s - ageS - spec.estimateS);
-      if (o.kind === 'deadline' && spec.deadlineS) {
-        slack = Math.min(slack, spec.deadlineS * (o.times ?? 1) - ageS - spec.estimateS);
-      }
+      let left: number;
+      if (o.kind === 'wait' && o.within_s) left = o.within_s - ageS;
+      else if (o.kind === 'finished' && o.within_s) left = o.within_s - ageS - runS;
+      else if (o.kind === 'deadline' && spec.deadlineS) left = spec.deadlineS * (o.times ?? 1) - ageS - runS;
+      else continue;
+      watched = true;
+      if (left > 0) slack = Math.min(slack, left);
     }
+    return watched && slack === Infinity ? -1 : slack;
+  }
+
+  /** How long a job rather waits for room than rents: a part of its slack; once late, money decides. */
+  private patienceOf(slackS: number): number {
     const { patience_share, patience_max_s } = this.deps.options.fleet;
-    // Late anyway: then money decides.
-    if (slack <= 0) return patience_max_s / 2;
-    return Math.min(patience_max_s, slack * patience_share);
+    return slackS < 0 ? patience_max_s / 2 : Math.min(patience_max_s, slackS * patience_share);
   }
 
   private machineViews(): MachineView[] {
@@ -962,6 +969,7 @@
       if (job.inherited && !accounted) continue;
       if (job.spec.gang && (this.gangs.has(job) || (this.liveOf.get(job)?.size ?? 0) > 0)) continue;
       const spec = job.spec;
+      const slackS = this.slackOf(job);
       const liveByZone = new Map<number, number>();
       if (spec.oneZone || spec.spread) {
         for (const a of this.liveOf.get(job) ?? []) {
@@ -986,7 +994,8 @@
         image: spec.image,
         imageGb: spec.imageGb,
         avoid: job.avoid,
-        patienceS: this.patienceOf(job),
+        patienceS: this.patienceOf(slackS),
+        slackS,
         guaranteed: guaranteed.has(job),
       });
     }
@@ -1025,6 +1034,7 @@
       imageGb: 0,
       avoid: new Set(),
       patienceS: scheduling.spare_patience_s,
+      slackS: Infinity,
       guaranteed: false,
     }));
   }
--- a/src/scheduling/round.ts
+++ b/src/scheduling/round.ts
@@ -153,14 +153,20 @@
   return reserved;
 }
 
+/** From 0, not pressing, to 1: about to be late. What is late already makes way for what is not. */
+function pressure(slackS: number): number {
+  return slackS < 0 ? 0 : 60 / (60 + slackS);
+}
+
 function urgency(group: GroupView): number {
   if (group.expected) return 0;
-  // Rank first, then a team's guarantee, then who waited longest.
+  // Rank first, then a team's guarantee, then who will be late soonest, then who waited longest.
   return (
     BAND +
     group.priority * 2 * BAND +
     (group.guaranteed ? BAND : 0) +
-    Math.min(BAND - 1, Math.round(group.waitedMs / 10))
+    Math.round(BAND * 0.6 * pressure(group.slackS)) +
+    Math.min(BAND * 0.4 - 1, Math.round(group.waitedMs / 25))
   );
 }
 
--- a/src/scheduling/view.ts
+++ b/src/scheduling/view.ts
@@ -31,6 +31,8 @@
   avoid: ReadonlySet<number>;
   /** How much longer than a rented machine's boot the job would rather wait for room on a present one. */
   patienceS: number;
+  /** How long it can still wait without being late; Infinity: nothing is expected of it, -1: it is late. */
+  slackS: number;
   /** True while the job fits its team's guarantee together with the team's earlier unfinished jobs. */
   guaranteed: boolean;
 }
--- a/test/helpers.ts
+++ b/test/helpers.ts
@@ -35,6 +35,7 @@
     imageGb: 0,
     avoid: new Set(),
     patienceS: 0,
+    slackS: Infinity,
     guaranteed: false,
     ...over,
   };
--- a/test/scheduling/round.test.ts
+++ b/test/scheduling/round.test.ts
@@ -120,6 +120,20 @@
   assert.equal(present.placements.length, 2);
 });
 
+test('who will be late soonest goes first, and who is late already makes way', () => {
+  const groups = [
+    group({ job: 0, slackS: -1 }),
+    group({ job: 1, slackS: 20 }),
+    group({ job: 2, slackS: 200 }),
+  ];
+  const views = [machine({ free: { cpus: 2, gpus: 0, memory: 8 } })];
+  const result = runRound(groups, views, [], FREE_TEAM, sizeOf, OPTIONS);
+  assert.deepEqual(
+    result.placements.map((p) => p.job),
+    [1, 2],
+  );
+});
+
 test('a job with patience waits for room that is about to come instead of renting', () => {
   const views = [
     machine({
