--- a/src/config/options.ts
+++ b/src/config/options.ts
@@ -56,7 +56,7 @@
     ),
     spare_patience_s: tunable(30, 0, 3600, 's', 'wait for room to come before renting for expected tasks'),
     park_headroom: tunable(
-      0.5,
+      0,
       0,
       100,
       'machines',
@@ -64,11 +64,12 @@
     ),
     rent_bias_s: tunable(10, 0, 3600, 's', 'how much later room that is paid for may come than rented room'),
     estimate_margin: tunable(1.1, 0.1, 10, 'times', 'what the run time estimates are multiplied by'),
+    rent_round: tunable(0, 0, 1, 'machines', 'part of a further machine that is not rented for'),
     preempt: tunable(1, 0, 1, 'flag', '1: tasks of lower rank are stopped to make room'),
   },
   workers: {
     silent_reports: tunable(
-      4,
+      2.5,
       2,
       100,
       'intervals',
--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -672,8 +672,9 @@
         this.dirty = true;
       }
       const quietMs = now - Math.max(m.heardAt, this.startedAt);
-      if (quietMs > reportMs * 1.6) this.probe(m);
-      if (quietMs > silentMs && !m.returning) {
+      if (quietMs > reportMs * 1.5) this.probe(m);
+      else m.probesFailed = 0;
+      if (quietMs > silentMs && m.probesFailed > 0 && !m.returning) {
         // Many silent machines of one zone point to a cut, which may end; single ones have died.
         const silent = silentByZone.get(m.zone) ?? 0;
         const cut = silent >= 3 && silent * 2 > (totalByZone.get(m.zone) ?? 0);
@@ -733,6 +734,8 @@
     this.probing.add(m);
     void this.deps.host.inspect(m).then((report) => {
       void this.deps.host.pause(800).then(() => this.probing.delete(m));
+      if (report) m.probesFailed = 0;
+      else m.probesFailed += 1;
       if (report) {
         this.deps.host.post(() => {
           if (!this.stopped && this.machines.has(report.machine)) this.takeReport(report, true);
@@ -1070,6 +1073,7 @@
         priceSteps: scheduling.price_steps,
         rentSteps: scheduling.rent_steps,
         rentBiasS: scheduling.rent_bias_s,
+        rentRound: scheduling.rent_round,
       },
       () => this.now() > deadline,
     );
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -39,6 +39,8 @@
   zone: number;
   spot: boolean;
   rentedAt: number;
+  /** Not given up before this: a machine found in the list may just not have reached this leader yet. */
+  keepUntil: number;
 }
 
 export interface IdleMachine {
@@ -50,6 +52,8 @@
 }
 
 const RENT_MAX = 50;
+/** Time for the worker of a listed machine to find a new leader: some tries and time-outs. */
+const LISTED_GRACE_MS = 15_000;
 const RETURN_MAX = 100;
 
 /** Rents and returns machines: what was asked of the cloud, what is booting, what is on its way back. */
@@ -97,7 +101,15 @@
     for (const o of this.options) {
       for (let i = 0; i < o.asking; i++) {
         const index = this.bootIndex + found.length;
-        found.push({ index, name: '', type: o.type, zone: o.zone, spot: o.spot, rentedAt: now });
+        found.push({
+          index,
+          name: '',
+          type: o.type,
+          zone: o.zone,
+          spot: o.spot,
+          rentedAt: now,
+          keepUntil: now,
+        });
       }
     }
     return found;
@@ -156,7 +168,7 @@
         this.deps.post(() => {
           option.refusals = 0;
           option.asking = 0;
-          for (const name of result.names) this.addBooting(name, option, rentedAt);
+          for (const name of result.names) this.addBooting(name, option, rentedAt, rentedAt);
           if (result.names.length < count) this.backOff(option, 'partly filled');
         });
         return;
@@ -181,10 +193,11 @@
     name: string,
     place: { type: number; zone: number; spot: boolean },
     rentedAt: number,
+    keepUntil: number,
   ): void {
     const { type, zone, spot } = place;
     this.rentedAt.set(name, rentedAt);
-    this.bootingByName.set(name, { index: this.bootIndex++, name, type, zone, spot, rentedAt });
+    this.bootingByName.set(name, { index: this.bootIndex++, name, type, zone, spot, rentedAt, keepUntil });
   }
 
   private backOff(option: RentOption, reason: string): void {
@@ -242,7 +255,7 @@
     for (const b of this.bootingByName.values()) {
       const bootS = this.deps.catalog.types[b.type]?.bootS ?? 60;
       const patience = (bootS * this.deps.options.fleet.boot_patience + 15) * 1000;
-      if (now - b.rentedAt > patience && !this.returning.has(b.name)) {
+      if (now - b.rentedAt > patience && now > b.keepUntil && !this.returning.has(b.name)) {
         this.deps.log.info({ machine: b.name }, 'machine never came up, returned');
         this.giveBack([b.name]);
       }
@@ -310,7 +323,7 @@
             const place = { type, zone: this.deps.zones.index(m.zone), spot: m.spot };
             this.deps.log.info({ machine: m.name, state: m.state }, 'unexpected machine in the list');
             if (type < 0) this.giveBack([m.name]);
-            else this.addBooting(m.name, place, Math.min(at, at - m.ageS * 1000));
+            else this.addBooting(m.name, place, at - m.ageS * 1000, at + LISTED_GRACE_MS);
           }
         }
         for (const [name, when] of this.returned) if (at - when > 300_000) this.returned.delete(name);
--- a/src/scheduling/round.ts
+++ b/src/scheduling/round.ts
@@ -17,6 +17,8 @@
   reserveAfterMs: number;
   /** Groups in one round; the others wait for the next. */
   maxGroups: number;
+  /** The part of a further machine that is not rented for. */
+  rentRound: number;
   /** Seconds that room of a machine already paid for may come later than that of one rented for it. */
   rentBiasS: number;
   /** Cost steps per second of image fetch. */
@@ -313,7 +315,7 @@
   }
   net.addArc(unscheduled, sink, supply, 0);
   net.solve(source, sink, supply, expired);
-  return extract(groups, targets, edges, net, teamRoom, result);
+  return extract(groups, targets, edges, net, teamRoom, options, result);
 }
 
 /** Takes the placements out of the flow, in order of urgency, as far as room and limits really allow. */
@@ -323,6 +325,7 @@
   edges: readonly Edge[],
   net: FlowNetwork,
   teamRoom: readonly TeamRoom[],
+  options: RoundOptions,
   result: RoundResult,
 ): number[] {
   const rooms = targets.map((t) => (t.view && t.step < 0 ? { ...t.view.free } : null));
@@ -377,6 +380,10 @@
     }
     result.placements.push(...placed);
   });
-  for (const [option, amount] of demand) result.rents.set(option, Math.ceil(amount - 1e-6));
+  for (const [option, amount] of demand) {
+    // A small part of a further machine isn't worth one: those tasks find room when others end.
+    const spared = amount > 1 ? options.rentRound : 1e-6;
+    result.rents.set(option, Math.max(1, Math.ceil(amount - spared)));
+  }
   return dropped;
 }
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -59,6 +59,8 @@
   errors = 0;
   lastErrorAt = -Infinity;
   readonly firstSeenAt: number;
+  /** Direct questions in a row without an answer. */
+  probesFailed = 0;
   pushing = false;
   pushAfter = 0;
   /** Images it has or fetches, with the time at which each is expected to be there. */
--- a/test/scheduling/round.test.ts
+++ b/test/scheduling/round.test.ts
@@ -13,6 +13,7 @@
   priceSteps: 3,
   rentSteps: 30,
   rentBiasS: 0,
+  rentRound: 0,
 };
 const SIZE: Room = { cpus: 4, gpus: 0, memory: 16 };
 const FREE_TEAM = [{ cpus: Infinity, gpus: Infinity }];
