A queue that can wait for the next wave of a machine rents none of its own

Cause: room that booting or filled machines will have once their coming tasks end was not in the graph, so each burst rented for all at once.

--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -1052,6 +1052,7 @@
     const groups = this.groups();
     const machines = this.machineViews();
     this.park(machines, groups);
+    this.addNextWave(machines, groups);
     const { catalog } = this.deps;
     const sizeOf = (type: number) => {
       const t = catalog.types[type];
@@ -1157,6 +1158,28 @@
     });
   }
 
+  /**
+   * Once more the whole room of each machine, for when the tasks that it runs or is about to take have ended:
+   * a queue that can wait that long needs no machines of its own.
+   */
+  private addNextWave(machines: readonly MachineView[], groups: readonly GroupView[]): void {
+    let tasks = 0;
+    let seconds = 0;
+    for (const g of groups) {
+      tasks += g.pending;
+      seconds += g.pending * (this.jobList.get(g.job)?.spec.estimateS ?? 0);
+    }
+    if (tasks === 0) return;
+    for (const m of machines) {
+      const size = this.deps.catalog.types[m.type]!;
+      const last = m.leaving.at(-1)?.inS ?? m.bootsInS;
+      m.leaving.push({
+        inS: last + seconds / tasks,
+        room: { cpus: size.cpus, gpus: size.gpus, memory: size.memory },
+      });
+    }
+  }
+
   private idleMachines(
     held: ReadonlySet<number>,
   ): { name: string; type: number; zone: number; spot: boolean; idleMs: number }[] {
