--- a/src/config/options.ts
+++ b/src/config/options.ts
@@ -65,6 +65,13 @@
     rent_bias_s: tunable(10, 0, 3600, 's', 'how much later room that is paid for may come than rented room'),
     estimate_margin: tunable(1.1, 0.1, 10, 'times', 'what the run time estimates are multiplied by'),
     rent_round: tunable(0, 0, 1, 'machines', 'part of a further machine that is not rented for'),
+    warm_steps: tunable(
+      6,
+      0,
+      1000,
+      'steps',
+      'cost for others of each image that a quick class has on a machine',
+    ),
     preempt: tunable(1, 0, 1, 'flag', '1: tasks of lower rank are stopped to make room'),
   },
   workers: {
--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -70,8 +70,7 @@
 }
 
 const ATTEMPTS_PER_TERM = 2 ** 24;
-/** More than any load or preference adds on a present machine. */
-const PARK_STEPS = 2000;
+const QUICK_IMAGES = 64;
 
 /** Everything one leadership knows. It starts empty and is thrown away whole when the leadership ends. */
 export class Leader {
@@ -84,6 +83,7 @@
   private readonly gangs = new Map<Job, Gang>();
   private readonly fleet: Fleet;
   private readonly forecast: ArrivalForecast;
+  private readonly quickImages = new Set<string>();
   private readonly usage: { cpus: number; gpus: number }[];
   private loaded = false;
   private readonly startedAt: number;
@@ -217,11 +217,20 @@
     this.jobList.set(index, job);
     this.jobIndex.set(job, index);
     this.forecast.note(job.spec, record.createdWall);
+    if (this.forecast.watches(job.spec.className)) this.noteQuickImage(job.spec.image);
     this.dirty = true;
     this.log.debug({ job: id, tasks: job.spec.tasks, class: job.spec.className }, 'job taken in');
     return job;
   }
 
+  /** The images used lately by classes that must start soon; the oldest is dropped. */
+  private noteQuickImage(image: string): void {
+    this.quickImages.delete(image);
+    this.quickImages.add(image);
+    const oldest = this.quickImages.values().next();
+    if (this.quickImages.size > QUICK_IMAGES && !oldest.done) this.quickImages.delete(oldest.value);
+  }
+
   onStoreEvents(events: readonly WatchEvent[]): void {
     for (const e of events) {
       const id = e.key.slice(KEYS.openPrefix.length);
@@ -381,6 +390,16 @@
           break;
         case 'running':
           if (e.attempt.job) e.attempt.job.running += 1;
+          this.log.debug(
+            {
+              job: e.attempt.jobId,
+              task: e.attempt.task,
+              machine: e.attempt.machine.name,
+              type: e.attempt.machine.id.machineType,
+              after: Math.round(this.now() - e.attempt.assignedAt),
+            },
+            'task running',
+          );
           this.onGangRunning(e.attempt);
           break;
         case 'released':
@@ -878,6 +897,12 @@
     return slackS < 0 ? patience_max_s / 2 : Math.min(patience_max_s, slackS * patience_share);
   }
 
+  private warmth(m: Machine): number {
+    let warm = 0;
+    for (const image of m.images.keys()) if (this.quickImages.has(image)) warm += 1;
+    return warm;
+  }
+
   private machineViews(): MachineView[] {
     const views: MachineView[] = [];
     const now = this.now();
@@ -904,6 +929,8 @@
           if (readyAt === undefined) return type.fetchGbPerS > 0 ? gb / type.fetchGbPerS : 0;
           return Math.max(0, readyAt - now) / 1000;
         },
+        warm: this.warmth(m),
+        parked: false,
         penalty: m.errors * 5,
         price: m.id.spot ? type.spotPrice : type.price,
       });
@@ -920,6 +947,8 @@
         load: 0,
         bootsInS: Math.max(1, type.bootS - (now - b.rentedAt) / 1000),
         fetchS: (_image, gb) => (type.fetchGbPerS > 0 ? gb / type.fetchGbPerS : 0),
+        warm: 0,
+        parked: false,
         penalty: 0,
         price: b.spot ? type.spotPrice : type.price,
       });
@@ -992,6 +1021,7 @@
         oneZone: spec.oneZone,
         zoneCap: spec.spread ? Math.ceil(spec.tasks / 2) : Infinity,
         liveByZone,
+        quick: this.forecast.watches(spec.className),
         expected: false,
         waitedMs: now - job.waitingSince,
         image: spec.image,
@@ -1031,6 +1061,7 @@
       oneZone: false,
       zoneCap: Infinity,
       liveByZone: new Map(),
+      quick: true,
       expected: true,
       waitedMs: 0,
       image: e.like.image,
@@ -1074,6 +1105,7 @@
         priceSteps: scheduling.price_steps,
         rentSteps: scheduling.rent_steps,
         rentBiasS: scheduling.rent_bias_s,
+        warmSteps: scheduling.warm_steps,
         rentRound: scheduling.rent_round,
       },
       () => this.now() > deadline,
@@ -1153,8 +1185,10 @@
         need += g.pending / fits(g.need, size);
       }
       const active = Math.ceil(need + park_headroom);
-      present.sort((a, b) => a.price - b.price || b.load - a.load || a.machine - b.machine);
-      for (const m of present.slice(active)) m.penalty += PARK_STEPS;
+      present.sort(
+        (a, b) => a.price - b.price || b.load - a.load || a.warm - b.warm || a.machine - b.machine,
+      );
+      for (const m of present.slice(active)) m.parked = true;
     });
   }
 
--- a/src/scheduling/forecast.ts
+++ b/src/scheduling/forecast.ts
@@ -28,6 +28,10 @@
 
   constructor(private readonly watched: ReadonlySet<string>) {}
 
+  watches(className: string): boolean {
+    return this.watched.has(className);
+  }
+
   /** Takes in an arrival by the time of day, so that jobs of an earlier leader count as well. */
   note(job: JobRequest, atMs: number): void {
     if (!this.watched.has(job.className)) return;
--- a/src/scheduling/round.ts
+++ b/src/scheduling/round.ts
@@ -21,6 +21,8 @@
   rentRound: number;
   /** Seconds that room of a machine already paid for may come later than that of one rented for it. */
   rentBiasS: number;
+  /** Cost steps per image that a quick class has on a machine, for tasks of other classes. */
+  warmSteps: number;
   /** Cost steps per second of image fetch. */
   fetchSteps: number;
   /** Cost per unit of hourly price and task of a machine to be rented. */
@@ -33,6 +35,10 @@
 const STEP = 10;
 /** Costs on present machines stay below one band, those of room that is yet to come below the second. */
 const BAND = 100_000;
+/** More than any load or preference adds on a present machine. */
+const PARK_STEPS = 2000;
+/** More images than this don't make a machine any warmer. */
+const MOST_WARM = 3;
 /** Dearer than any machine, whatever the group's urgency adds. */
 const UNSCHEDULED = 30 * BAND;
 
@@ -73,7 +79,12 @@
 function machineCost(group: GroupView, m: MachineView, cheapest: number, options: RoundOptions): number {
   const fetch = m.fetchS(group.image, group.imageGb);
   const dearer = Math.max(0, m.price - cheapest);
-  return (fetch * options.fetchSteps + dearer * options.priceSteps + m.penalty) * STEP;
+  const parked = m.parked && !group.quick ? PARK_STEPS : 0;
+  // Machines with the images of classes that must start soon are left to those, as far as others will do.
+  const lacking = Math.max(0, MOST_WARM - m.warm);
+  const affinity =
+    (group.expected ? lacking : group.quick ? 0 : Math.min(MOST_WARM, m.warm)) * options.warmSteps;
+  return (fetch * options.fetchSteps + dearer * options.priceSteps + m.penalty + affinity + parked) * STEP;
 }
 
 function fetchS(group: GroupView, option: OptionView): number {
--- a/src/scheduling/view.ts
+++ b/src/scheduling/view.ts
@@ -23,6 +23,8 @@
   zoneCap: number;
   /** Tasks of the job that are or may be on machines, by zone. */
   liveByZone: Map<number, number>;
+  /** Of a class whose tasks must start soon. */
+  quick: boolean;
   /** Tasks that are only expected: they hold room and rent, but nothing is placed for them. */
   expected: boolean;
   waitedMs: number;
@@ -51,6 +53,10 @@
   bootsInS: number;
   /** Seconds until an image is there: 0 if cached, what is left of a fetch under way, else the whole fetch. */
   fetchS: (image: string, gb: number) => number;
+  /** Images on it that classes which must start soon have used lately. */
+  warm: number;
+  /** Beyond the present need: taken last, so that it can be given back. Quick classes don't mind. */
+  parked: boolean;
   /** Extra cost in steps, for machines known as slow or faulty. */
   penalty: number;
   price: number;
--- a/test/scheduling/round.test.ts
+++ b/test/scheduling/round.test.ts
@@ -13,6 +13,7 @@
   priceSteps: 3,
   rentSteps: 30,
   rentBiasS: 0,
+  warmSteps: 6,
   rentRound: 0,
 };
 const SIZE: Room = { cpus: 4, gpus: 0, memory: 16 };
@@ -135,6 +136,19 @@
   );
 });
 
+test('machines with the images of quick classes are left to those while others will do', () => {
+  // Tasks with a bound on their start once met machines without their image: the warm ones had been filled.
+  const views = [machine({ machine: 0, warm: 2 }), machine({ machine: 1, warm: 0, load: 3 })];
+  const place = (over: object) =>
+    runRound([group(over)], views, [], FREE_TEAM, sizeOf, OPTIONS).placements[0]?.machine;
+  assert.equal(place({}), 1);
+  assert.equal(place({ quick: true }), 0);
+  assert.equal(
+    runRound([group({ expected: true, quick: true })], views, [], FREE_TEAM, sizeOf, OPTIONS).held.has(0),
+    true,
+  );
+});
+
 test('a job with patience waits for room that is about to come instead of renting', () => {
   const views = [
     machine({
