--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -71,6 +71,8 @@
 
 const ATTEMPTS_PER_TERM = 2 ** 24;
 const QUICK_IMAGES = 64;
+/** Time for orders and reports around a stop or a start. */
+const SETTLE_S = 2;
 
 /** Everything one leadership knows. It starts empty and is thrown away whole when the leadership ends. */
 export class Leader {
@@ -1002,6 +1004,7 @@
       if (job.spec.gang && (this.gangs.has(job) || (this.liveOf.get(job)?.size ?? 0) > 0)) continue;
       const spec = job.spec;
       const slackS = this.slackOf(job);
+      if (job.aim && now > job.aim.until) job.aim = null;
       const liveByZone = new Map<number, number>();
       if (spec.oneZone || spec.spread) {
         for (const a of this.liveOf.get(job) ?? []) {
@@ -1027,6 +1030,7 @@
         image: spec.image,
         imageGb: spec.imageGb,
         avoid: job.avoid,
+        only: job.aim?.machine ?? -1,
         patienceS: this.patienceOf(slackS),
         slackS,
         guaranteed: guaranteed.has(job),
@@ -1067,6 +1071,7 @@
       image: e.like.image,
       imageGb: 0,
       avoid: new Set(),
+      only: -1,
       patienceS: scheduling.spare_patience_s,
       slackS: Infinity,
       guaranteed: false,
@@ -1116,6 +1121,8 @@
     for (const p of result.placements) {
       const job = this.jobList.get(p.job)!;
       const machine = this.byIndex[p.machine]!;
+      const group = groups.find((g) => g.job === p.job);
+      if (group && this.makeWarmRoom(job, group, p.machine, machines)) continue;
       for (let i = 0; i < p.count; i++) {
         let number: number;
         if (job.spec.gang) {
@@ -1244,7 +1251,7 @@
     const guaranteed = this.guaranteedJobs();
     for (const group of groups) {
       const waiting = (result.unplaced.get(group.job) ?? 0) + (result.awaiting.get(group.job) ?? 0);
-      if (waiting === 0) continue;
+      if (waiting === 0 || group.only >= 0) continue;
       // With room on its way, a guarantee alone is no reason to stop others.
       const guaranteeAfterMs = result.unplaced.has(group.job)
         ? this.deps.options.scheduling.guarantee_after_s * 1000
@@ -1262,6 +1269,40 @@
     }
   }
 
+  /**
+   * A single task that must start soon and would spend its time fetching: if tasks of lower rank that can save
+   * hold a machine with its image, they make room there. True if the task waits for that room.
+   */
+  private makeWarmRoom(
+    job: Job,
+    group: GroupView,
+    placed: number,
+    machines: readonly MachineView[],
+  ): boolean {
+    const fetchS = (m: MachineView): number => m.fetchS(group.image, group.imageGb);
+    const chosen = machines.find((m) => m.machine === placed);
+    if (!group.quick || job.spec.tasks !== 1 || job.aim || !chosen || !this.deps.options.scheduling.preempt)
+      return false;
+    const slackS = group.slackS - SETTLE_S;
+    if (fetchS(chosen) <= slackS) return false;
+    const warm = machines.filter((m) => m.bootsInS === 0 && m.load > 0 && fetchS(m) === 0);
+    const savable = (index: number): VictimView<Attempt>[] =>
+      this.victims(index, new Set()).filter((v) => {
+        const spec = v.item.job?.spec;
+        return v.stopping || (spec !== undefined && spec.checkpointS > 0 && spec.saveS < slackS);
+      });
+    const victims = pickVictims(group, 1, warm, savable, this.teamRooms(), Infinity, new Map());
+    const first = victims[0];
+    if (!first) return false;
+    let saveS = 0;
+    for (const a of victims) {
+      this.stopOrderly(a, `warm room for ${job.id}`);
+      saveS = Math.max(saveS, a.job?.spec.saveS ?? 0);
+    }
+    job.aim = { machine: first.machine.index, until: this.now() + (saveS + SETTLE_S) * 1000 };
+    return true;
+  }
+
   private victims(index: number, guaranteed: ReadonlySet<Job>): VictimView<Attempt>[] {
     const m = this.byIndex[index];
     if (!m) return [];
--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -37,6 +37,8 @@
    * while it runs elsewhere: the end of one of the two must not free the task.
    */
   readonly holders = new Map<number, number>();
+  /** A machine on which room is being made for it, and until when it waits for that. */
+  aim: { machine: number; until: number } | null = null;
   /** Machines (by index) on which a task of this job failed. */
   readonly avoid = new Set<number>();
   /** When the job began to wait, on the steady clock; moves on whenever a task is placed. */
--- a/src/scheduling/round.ts
+++ b/src/scheduling/round.ts
@@ -207,6 +207,7 @@
     reserved: reserve(groups, machines, sizeOf, options),
     cut: ordered.length > groups.length,
   };
+  for (const group of groups) if (group.only >= 0) result.reserved.set(group.only, group.job);
   // A gang of which only a part found room must not hold the rest back: it is left out and the round repeated.
   const skipped = new Set<number>();
   for (let pass = 0; pass < 3; pass++) {
@@ -282,6 +283,7 @@
       if (!usable(place.type, place.zone, place.spot)) return;
       if (view) {
         if (group.avoid.has(view.machine)) return;
+        if (group.only >= 0 && group.only !== view.machine) return;
         const holder = result.reserved.get(view.machine);
         if (holder !== undefined && holder !== group.job) return;
         const step = target.step;
@@ -298,7 +300,7 @@
         // Room for all groups together, not for the largest one: a machine once took no more than that in a round.
         target.slots = Math.max(target.slots, fits(group.need, roomAfter(view, step + 1)) - before);
         target.wanted += count;
-      } else if (option) {
+      } else if (option && group.only < 0) {
         const each = fits(group.need, option.size);
         const count = Math.min(wanted, each * option.max);
         if (count === 0) return;
--- a/test/helpers.ts
+++ b/test/helpers.ts
@@ -35,6 +35,7 @@
     image: 'i',
     imageGb: 0,
     avoid: new Set(),
+    only: -1,
     patienceS: 0,
     slackS: Infinity,
     guaranteed: false,
--- a/test/scheduling/round.test.ts
+++ b/test/scheduling/round.test.ts
@@ -149,6 +149,19 @@
   );
 });
 
+test('a job for which room is being made on a machine waits for that one, and nobody else takes it', () => {
+  const views = [machine({ machine: 0 }), machine({ machine: 1, load: 2 })];
+  const groups = [group({ job: 0, only: 1, priority: 2 }), group({ job: 1, pending: 8 })];
+  const result = runRound(groups, views, [], FREE_TEAM, sizeOf, OPTIONS);
+  assert.deepEqual(
+    result.placements.map((p) => [p.job, p.machine]),
+    [
+      [0, 1],
+      [1, 0],
+    ],
+  );
+});
+
 test('a job with patience waits for room that is about to come instead of renting', () => {
   const views = [
     machine({
