An abandoned fetch leaves no image behind

Cause: a machine counted as warm from the launch on, even if the task was stopped while it fetched. 8 days each (simulated machines): 0.716 to 0.706 and 0.624 to 0.614, within noise.

--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -481,6 +481,11 @@
       'task ended',
     );
     if (a.machine.liveCount === 0) a.machine.idleSince = this.now();
+    // A fetch is given up with the last task that waits for it: the machine is no warmer for it.
+    const readyAt = a.machine.images.get(job.spec.image) ?? -Infinity;
+    if (readyAt > this.now() && !a.machine.live().some((other) => other.job?.spec.image === job.spec.image)) {
+      a.machine.images.delete(job.spec.image);
+    }
     const gang = job.spec.gang ? this.gangs.get(job) : undefined;
     if (a.cause === 'done') {
       if (gang) for (let task = 0; task < job.spec.tasks; task++) job.markDone(task);
