--- /dev/null
+++ b/src/core/views.ts
@@ -0,0 +1,367 @@
+import type { Attempt, Machine } from '../workers/machine.ts';
+import type { Intern } from './intern.ts';
+import type { Clock } from './clock.ts';
+import type { Settings } from '../config/settings.ts';
+import type { Options } from '../config/options.ts';
+import type { Catalog } from '../fleet/catalog.ts';
+import type { Fleet } from '../fleet/fleet.ts';
+import type { TeamLimits } from '../jobs/admission.ts';
+import type { Job } from '../jobs/job.ts';
+import type { ArrivalForecast } from '../scheduling/forecast.ts';
+import type { VictimView } from '../scheduling/preempt.ts';
+import { fits, type GroupView, type MachineView, type Room, type TeamRoom } from '../scheduling/view.ts';
+import type { JobRequest } from '../wire/user.ts';
+
+/** What the leader knows, as far as a round needs it. */
+export interface ClusterState {
+  readonly jobs: ReadonlyMap<string, Job>;
+  readonly jobList: ReadonlyMap<number, Job>;
+  readonly machines: ReadonlyMap<string, Machine>;
+  readonly byIndex: readonly Machine[];
+  readonly gangs: ReadonlyMap<Job, unknown>;
+  readonly liveOf: ReadonlyMap<Job, ReadonlySet<Attempt>>;
+  readonly usage: readonly { cpus: number; gpus: number }[];
+  readonly fleet: Fleet;
+  readonly forecast: ArrivalForecast;
+  readonly quickImages: ReadonlySet<string>;
+  /** Nothing an earlier leader started can be unknown any more. */
+  allAccounted(): boolean;
+}
+
+export interface ViewDeps {
+  host: { clock: Clock };
+  settings: Settings;
+  options: Options;
+  teams: readonly TeamLimits[];
+  zones: Intern;
+  catalog: Catalog;
+  term: number;
+}
+
+/** Turns what the leader knows into what a round sees. It changes nothing but the views it makes. */
+export class Views {
+  constructor(
+    private readonly c: ClusterState,
+    private readonly deps: ViewDeps,
+  ) {}
+
+  freeOf(m: Machine): Room {
+    const type = this.deps.catalog.types[m.type];
+    if (!type || m.hasForeign) return { cpus: 0, gpus: 0, memory: 0 };
+    const free = { cpus: type.cpus, gpus: type.gpus, memory: type.memory };
+    for (const a of m.attempts.values()) {
+      if (a.released || !a.job) continue;
+      free.cpus -= a.job.spec.cpus;
+      free.gpus -= a.job.spec.gpus;
+      free.memory -= a.job.spec.memory;
+    }
+    return free;
+  }
+
+  /** When the running tasks of a machine are expected to leave, by their owners' estimates. */
+  private leavingOf(m: Machine, now: number): MachineView['leaving'] {
+    const leaving: MachineView['leaving'] = [];
+    for (const a of m.attempts.values()) {
+      if (a.released || !a.job) continue;
+      const { spec } = a.job;
+      const room = { cpus: spec.cpus, gpus: spec.gpus, memory: spec.memory };
+      let inS: number;
+      if (a.stopGraceS !== null) inS = a.stopGraceS;
+      else {
+        const ranS = a.runningSince === null ? 0 : (now - a.runningSince) / 1000;
+        // A task past its estimate has outlived it: it is given a good part of what it has run.
+        inS = Math.max(spec.estimateS - ranS, ranS * 0.3, 3);
+      }
+      leaving.push({ inS, room });
+    }
+    return leaving.sort((x, y) => x.inS - y.inS);
+  }
+
+  /**
+   * Seconds that a job can still wait without missing the next thing expected of its class, or -1 if it has
+   * missed them all. Estimates are often too low, so a part is added.
+   */
+  private slackOf(job: Job): number {
+    const { spec } = job;
+    const ageS = (this.deps.host.clock.wall() - job.createdWall) / 1000;
+    const runS = spec.estimateS * this.deps.options.scheduling.estimate_margin;
+    let slack = Infinity;
+    let watched = false;
+    for (const o of this.deps.settings.settings.objectives) {
+      if (o.class !== spec.className) continue;
+      let left: number;
+      if (o.kind === 'wait' && o.within_s) left = o.within_s - ageS;
+      else if (o.kind === 'finished' && o.within_s) left = o.within_s - ageS - runS;
+      else if (o.kind === 'deadline' && spec.deadlineS) left = spec.deadlineS * (o.times ?? 1) - ageS - runS;
+      else continue;
+      watched = true;
+      if (left > 0) slack = Math.min(slack, left);
+    }
+    return watched && slack === Infinity ? -1 : slack;
+  }
+
+  /** How long a job rather waits for room than rents: a part of its slack; once late, money decides. */
+  private patienceOf(slackS: number): number {
+    const { patience_share, patience_max_s } = this.deps.options.fleet;
+    return slackS < 0 ? patience_max_s / 2 : Math.min(patience_max_s, slackS * patience_share);
+  }
+
+  private warmth(m: Machine): number {
+    let warm = 0;
+    for (const image of m.images.keys()) if (this.c.quickImages.has(image)) warm += 1;
+    return warm;
+  }
+
+  machineViews(): MachineView[] {
+    const views: MachineView[] = [];
+    const now = this.deps.host.clock.now();
+    for (const m of this.c.machines.values()) {
+      const type = this.deps.catalog.types[m.type];
+      if (!type || m.returning || m.draining || m.takenAt !== null) continue;
+      if (m.session === 0 || m.sessionOver) continue;
+      const reportMs = this.deps.settings.settings.workers.report_s * 1000;
+      if (now - m.heardAt > reportMs * 1.6) continue;
+      // Up, but not yet written to the roster or not yet under our token: that takes a moment, no new machine.
+      const ready = m.rostered && m.token === this.deps.term;
+      if (m.errors >= 3 && now - m.lastErrorAt < 60_000) continue;
+      views.push({
+        machine: m.index,
+        type: m.type,
+        zone: m.zone,
+        spot: m.id.spot,
+        free: this.freeOf(m),
+        leaving: this.leavingOf(m, now),
+        load: m.liveCount,
+        bootsInS: ready ? 0 : 1,
+        fetchS: (image, gb) => {
+          const readyAt = m.images.get(image);
+          if (readyAt === undefined) return type.fetchGbPerS > 0 ? gb / type.fetchGbPerS : 0;
+          return Math.max(0, readyAt - now) / 1000;
+        },
+        warm: this.warmth(m),
+        parked: false,
+        penalty: m.errors * 5,
+        price: m.id.spot ? type.spotPrice : type.price,
+      });
+    }
+    for (const b of this.c.fleet.booting()) {
+      const type = this.deps.catalog.types[b.type]!;
+      views.push({
+        machine: -1 - b.index,
+        type: b.type,
+        zone: b.zone,
+        spot: b.spot,
+        free: { cpus: type.cpus, gpus: type.gpus, memory: type.memory },
+        leaving: [],
+        load: 0,
+        bootsInS: Math.max(1, type.bootS - (now - b.rentedAt) / 1000),
+        fetchS: (_image, gb) => (type.fetchGbPerS > 0 ? gb / type.fetchGbPerS : 0),
+        warm: 0,
+        parked: false,
+        penalty: 0,
+        price: b.spot ? type.spotPrice : type.price,
+      });
+    }
+    return views;
+  }
+
+  teamRooms(): TeamRoom[] {
+    // Machines not accounted for may run anything of any team that they can hold.
+    let hiddenCpus = 0;
+    let hiddenGpus = 0;
+    for (const m of this.c.machines.values()) {
+      if (m.accounted && !m.hasForeign) continue;
+      const type = this.deps.catalog.types[m.type];
+      hiddenCpus += type?.cpus ?? Infinity;
+      hiddenGpus += type?.gpus ?? Infinity;
+    }
+    return this.deps.teams.map((team, i) => ({
+      cpus: team.cpusMax > 0 ? team.cpusMax - this.c.usage[i]!.cpus - hiddenCpus : Infinity,
+      gpus: team.gpusMax > 0 ? team.gpusMax - this.c.usage[i]!.gpus - hiddenGpus : Infinity,
+    }));
+  }
+
+  /** Jobs that fit their team's guarantee together with the team's earlier unfinished ones. */
+  guaranteedJobs(): Set<Job> {
+    const found = new Set<Job>();
+    const used = this.deps.teams.map(() => ({ cpus: 0, gpus: 0 }));
+    const ordered = [...this.c.jobs.values()].filter((j) => j.ending === null);
+    ordered.sort((a, b) => a.createdWall - b.createdWall);
+    for (const job of ordered) {
+      const team = this.deps.teams[job.team]!;
+      const sum = used[job.team]!;
+      const left = job.spec.tasks - job.doneCount;
+      sum.cpus += job.spec.cpus * left;
+      sum.gpus += job.spec.gpus * left;
+      const gpus = job.spec.gpus === 0 || sum.gpus <= team.gpus + 1e-9;
+      const cpus = team.cpus === 0 ? job.spec.gpus > 0 : sum.cpus <= team.cpus + 1e-9;
+      if (gpus && cpus) found.add(job);
+    }
+    return found;
+  }
+
+  groups(): GroupView[] {
+    const now = this.deps.host.clock.now();
+    const accounted = this.c.allAccounted();
+    const guaranteed = this.guaranteedJobs();
+    const groups: GroupView[] = [];
+    for (const [index, job] of this.c.jobList) {
+      if (job.ending !== null || job.pendingCount === 0 || now < job.notBefore) continue;
+      if (job.inherited && !accounted) continue;
+      if (job.spec.gang && (this.c.gangs.has(job) || (this.c.liveOf.get(job)?.size ?? 0) > 0)) continue;
+      const spec = job.spec;
+      const slackS = this.slackOf(job);
+      if (job.aim && now > job.aim.until) job.aim = null;
+      const liveByZone = new Map<number, number>();
+      if (spec.oneZone || spec.spread) {
+        for (const a of this.c.liveOf.get(job) ?? []) {
+          liveByZone.set(a.machine.zone, (liveByZone.get(a.machine.zone) ?? 0) + 1);
+        }
+      }
+      groups.push({
+        job: index,
+        team: job.team,
+        pending: job.pendingCount,
+        gang: spec.gang,
+        priority: spec.priority,
+        need: { cpus: spec.cpus, gpus: spec.gpus, memory: spec.memory },
+        types: spec.types ? new Set(spec.types.map((t) => this.deps.catalog.typeIndex(t))) : null,
+        zone: spec.zone === null ? -1 : this.deps.zones.index(spec.zone),
+        spot: spec.spot,
+        oneZone: spec.oneZone,
+        zoneCap: spec.spread ? Math.ceil(spec.tasks / 2) : Infinity,
+        liveByZone,
+        quick: this.c.forecast.watches(spec.className),
+        expected: false,
+        waitedMs: now - job.waitingSince,
+        image: spec.image,
+        imageGb: spec.imageGb,
+        avoid: job.avoid,
+        only: job.aim?.machine ?? -1,
+        patienceS: this.patienceOf(slackS),
+        slackS,
+        guaranteed: guaranteed.has(job),
+      });
+    }
+    return groups;
+  }
+
+  /** Room to keep at hand for classes that must start soon: groups like any other, but nothing is placed. */
+  expectedGroups(): GroupView[] {
+    const { scheduling } = this.deps.options;
+    const bootOf = (job: JobRequest): number => {
+      let best: { price: number; bootS: number } | null = null;
+      for (const type of this.deps.catalog.types) {
+        if (job.types && !job.types.includes(type.name)) continue;
+        if (fits({ cpus: job.cpus, gpus: job.gpus, memory: job.memory }, type) === 0) continue;
+        if (!best || type.price < best.price) best = type;
+      }
+      return best?.bootS ?? 0;
+    };
+    const expected = this.c.forecast.expected(this.deps.host.clock.wall(), bootOf, scheduling.spare_swing);
+    return expected.map((e, i) => ({
+      job: -1 - i,
+      team: this.deps.teams.length,
+      pending: e.tasks,
+      gang: false,
+      priority: 0,
+      need: { cpus: e.like.cpus, gpus: e.like.gpus, memory: e.like.memory },
+      types: e.like.types ? new Set(e.like.types.map((t) => this.deps.catalog.typeIndex(t))) : null,
+      zone: -1,
+      spot: e.like.spot,
+      oneZone: false,
+      zoneCap: Infinity,
+      liveByZone: new Map(),
+      quick: true,
+      expected: true,
+      waitedMs: 0,
+      image: e.like.image,
+      imageGb: 0,
+      avoid: new Set(),
+      only: -1,
+      patienceS: scheduling.spare_patience_s,
+      slackS: Infinity,
+      guaranteed: false,
+    }));
+  }
+
+  /**
+   * Marks the machines beyond what the present work needs as dearer than the others, though never as dear as
+   * room to come: they take tasks only when the others are full, and so run empty and can be given back.
+   */
+  park(machines: readonly MachineView[], groups: readonly GroupView[]): void {
+    const { park_headroom } = this.deps.options.scheduling;
+    const shareOf = (need: Room, size: Room): number =>
+      Math.max(
+        need.cpus / size.cpus,
+        size.gpus > 0 ? need.gpus / size.gpus : 0,
+        size.memory > 0 ? need.memory / size.memory : 0,
+      );
+    this.deps.catalog.types.forEach((size, type) => {
+      const present = machines.filter((m) => m.type === type && m.bootsInS === 0);
+      let need = 0;
+      for (const m of present) {
+        const used = {
+          cpus: size.cpus - m.free.cpus,
+          gpus: size.gpus - m.free.gpus,
+          memory: size.memory - m.free.memory,
+        };
+        need += shareOf(used, size);
+      }
+      for (const g of groups) {
+        if ((g.types && !g.types.has(type)) || fits(g.need, size) === 0) continue;
+        need += g.pending / fits(g.need, size);
+      }
+      const active = Math.ceil(need + park_headroom);
+      present.sort(
+        (a, b) => a.price - b.price || b.load - a.load || a.warm - b.warm || a.machine - b.machine,
+      );
+      for (const m of present.slice(active)) m.parked = true;
+    });
+  }
+
+  /**
+   * Once more the whole room of each machine, for when the tasks that it runs or is about to take have ended:
+   * a queue that can wait that long needs no machines of its own.
+   */
+  addNextWave(machines: readonly MachineView[], groups: readonly GroupView[]): void {
+    let tasks = 0;
+    let seconds = 0;
+    for (const g of groups) {
+      tasks += g.pending;
+      seconds += g.pending * (this.c.jobList.get(g.job)?.spec.estimateS ?? 0);
+    }
+    if (tasks === 0) return;
+    for (const m of machines) {
+      const size = this.deps.catalog.types[m.type]!;
+      const last = m.leaving.at(-1)?.inS ?? m.bootsInS;
+      m.leaving.push({
+        inS: last + seconds / tasks,
+        room: { cpus: size.cpus, gpus: size.gpus, memory: size.memory },
+      });
+    }
+  }
+
+  victims(index: number, guaranteed: ReadonlySet<Job>): VictimView<Attempt>[] {
+    const m = this.c.byIndex[index];
+    if (!m) return [];
+    const now = this.deps.host.clock.now();
+    return m.live().map((a) => ({
+      item: a,
+      priority: a.job?.spec.priority ?? 99,
+      team: a.job?.team ?? -1,
+      beyondGuarantee: a.job !== null && !guaranteed.has(a.job),
+      stopping: a.stopGraceS !== null,
+      need: a.job
+        ? { cpus: a.job.spec.cpus, gpus: a.job.spec.gpus, memory: a.job.spec.memory }
+        : { cpus: 0, gpus: 0, memory: 0 },
+      gang: a.job?.spec.gang ?? false,
+      lossS:
+        a.runningSince === null
+          ? 0
+          : a.job && a.job.spec.checkpointS > 0
+            ? a.job.spec.saveS
+            : (now - a.runningSince) / 1000,
+    }));
+  }
+}
