--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -14,7 +14,7 @@
 import type { Item, WatchEvent } from '../wire/state.ts';
 import type { JobStatus } from '../wire/user.ts';
 import type { Command, Report } from '../wire/worker.ts';
-import { attemptKey, Machine, type Attempt, type MachineIdentity } from '../workers/machine.ts';
+import { attemptKey, Machine, newAttempt, type Attempt, type MachineIdentity } from '../workers/machine.ts';
 import { applyReport, commandsFor, isNewer, loseAll, type WorkerEvent } from '../workers/reconcile.ts';
 import { ArrivalForecast } from '../scheduling/forecast.ts';
 import { Views } from './views.ts';
@@ -363,22 +363,7 @@
   private start(job: Job, machine: Machine, number: number): Attempt | null {
     const task = job.takePending();
     if (task < 0) return null;
-    const a: Attempt = {
-      jobId: job.id,
-      task,
-      number,
-      machine,
-      job,
-      phase: 'launching',
-      seen: false,
-      released: false,
-      cause: null,
-      stopGraceS: null,
-      doubt: false,
-      underWay: 0,
-      assignedAt: this.now(),
-      runningSince: null,
-    };
+    const a = newAttempt(machine, job, job.id, task, number, this.now());
     machine.attempts.set(attemptKey(a.jobId, task, number), a);
     machine.pushAfter = 0;
     const rate = this.deps.catalog.types[machine.type]?.fetchGbPerS ?? 0;
@@ -439,12 +424,7 @@
   }
 
   private adoptGangMember(job: Job, a: Attempt): void {
-    let gang = this.gangs.get(job);
-    if (!gang) {
-      gang = { number: a.number, members: new Set(), ending: false, started: false };
-      this.gangs.set(job, gang);
-    }
-    gang.members.add(a);
+    const gang = this.joinGang(job, a);
     if (gang.number !== a.number) {
       this.log.info({ job: job.id }, 'tasks of two attempts of a gang: all are stopped');
       this.endGang(job, gang);
@@ -931,13 +911,14 @@
     );
   }
 
-  private joinGang(job: Job, a: Attempt): void {
+  private joinGang(job: Job, a: Attempt): Gang {
     let gang = this.gangs.get(job);
     if (!gang) {
       gang = { number: a.number, members: new Set(), ending: false, started: false };
       this.gangs.set(job, gang);
     }
     gang.members.add(a);
+    return gang;
   }
 
   private idleMachines(
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -105,3 +105,30 @@
 export function attemptKey(jobId: string, task: number, number: number): string {
   return `${jobId}/${task}#${number}`;
 }
+
+/** An attempt of which nothing is known yet but where it belongs. */
+export function newAttempt(
+  machine: Machine,
+  job: Job | null,
+  jobId: string,
+  task: number,
+  number: number,
+  now: number,
+): Attempt {
+  return {
+    jobId,
+    task,
+    number,
+    machine,
+    job,
+    phase: 'launching',
+    seen: false,
+    released: false,
+    cause: null,
+    stopGraceS: null,
+    doubt: false,
+    underWay: 0,
+    assignedAt: now,
+    runningSince: null,
+  };
+}
--- a/src/workers/reconcile.ts
+++ b/src/workers/reconcile.ts
@@ -1,6 +1,6 @@
 import type { Job } from '../jobs/job.ts';
 import type { Cause, Command, Report } from '../wire/worker.ts';
-import { attemptKey, type Attempt, type Machine } from './machine.ts';
+import { attemptKey, newAttempt, type Attempt, type Machine } from './machine.ts';
 
 /** What a report means for jobs; the order is the order in which it must be taken in. */
 export type WorkerEvent =
@@ -69,22 +69,8 @@
     let a = machine.attempts.get(key);
     if (!a) {
       const job = ctx.jobOf(t.jobId);
-      a = {
-        jobId: t.jobId,
-        task: t.task,
-        number: t.attempt,
-        machine,
-        job: job && t.task < job.spec.tasks ? job : null,
-        phase: 'launching',
-        seen: false,
-        released: false,
-        cause: null,
-        stopGraceS: null,
-        doubt: false,
-        underWay: 0,
-        assignedAt: ctx.now,
-        runningSince: null,
-      };
+      const known = job && t.task < job.spec.tasks ? job : null;
+      a = newAttempt(machine, known, t.jobId, t.task, t.attempt, ctx.now);
       machine.attempts.set(key, a);
     }
     const first = !a.seen;
--- a/test/workers/reconcile.test.ts
+++ b/test/workers/reconcile.test.ts
@@ -4,7 +4,7 @@
 import { Job } from '../../src/jobs/job.ts';
 import { decodeStoredJob } from '../../src/wire/user.ts';
 import type { Report, ReportedTask } from '../../src/wire/worker.ts';
-import { attemptKey, Machine, type Attempt } from '../../src/workers/machine.ts';
+import { attemptKey, Machine, newAttempt, type Attempt } from '../../src/workers/machine.ts';
 import { applyReport, commandsFor, isNewer, mayForget } from '../../src/workers/reconcile.ts';
 import { SEED } from '../helpers.ts';
 import { JOB } from '../wire/sample.ts';
@@ -18,22 +18,7 @@
   const machine = new Machine(0, IDENTITY, 0, 0, 0, 0);
   const job = new Job(SPEC, 0, 0, false, 0);
   const launch = (task: number): Attempt => {
-    const a: Attempt = {
-      jobId: job.id,
-      task,
-      number: 7,
-      machine,
-      job,
-      phase: 'launching',
-      seen: false,
-      released: false,
-      cause: null,
-      stopGraceS: null,
-      doubt: false,
-      underWay: 0,
-      assignedAt: 0,
-      runningSince: null,
-    };
+    const a = newAttempt(machine, job, job.id, task, 7, 0);
     machine.attempts.set(attemptKey(job.id, task, 7), a);
     return a;
   };
