--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -1,4 +1,4 @@
-import { Command } from 'commander';
+import { Command, CommanderError } from 'commander';
 import { ConfigError, loadSettings } from '../config/settings.ts';
 import { loadOptions, TUNABLES } from '../config/options.ts';
 import { makeLogger } from '../core/log.ts';
@@ -35,7 +35,7 @@
 }
 
 export function buildProgram(): Command {
-  const program = new Command('pondwick');
+  const program = new Command('pondwick').exitOverride();
   program.description('A cluster scheduler that places tasks by min-cost flow rounds.').version(VERSION);
   program
     .command('serve')
@@ -62,9 +62,18 @@
 }
 
 export async function main(argv: readonly string[]): Promise<void> {
+  // A reader that has seen enough, such as head, is no failure.
+  process.stdout.on('error', () => {
+    process.exit();
+  });
   try {
     await buildProgram().parseAsync([...argv]);
   } catch (error) {
+    if (error instanceof CommanderError) {
+      // The library has printed its own message, or the help that was asked for.
+      process.exitCode = error.exitCode === 0 ? 0 : EXIT_CONFIG;
+      return;
+    }
     if (error instanceof ConfigError) process.stderr.write(`pondwick: ${error.message}\n`);
     else process.stderr.write(`pondwick: ${(error as Error).message}\n`);
     process.exitCode = EXIT_CONFIG;
--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -65,6 +65,7 @@
 
 const ATTEMPTS_PER_TERM = 2 ** 24;
 const QUICK_IMAGES = 64;
+const MOST_MADE_ROOM = 8;
 /** Time for orders and reports around a stop or a start. */
 const SETTLE_S = 2;
 
@@ -949,9 +950,12 @@
   ): void {
     if (!this.deps.options.scheduling.preempt) return;
     const guaranteed = this.views.guaranteedJobs();
-    for (const group of groups) {
-      const waiting = (result.unplaced.get(group.job) ?? 0) + (result.awaiting.get(group.job) ?? 0);
-      if (waiting === 0 || group.only >= 0) continue;
+    const waitingOf = (g: GroupView): number =>
+      g.only >= 0 ? 0 : (result.unplaced.get(g.job) ?? 0) + (result.awaiting.get(g.job) ?? 0);
+    const pressing = groups.filter((g) => waitingOf(g) > 0).sort((a, b) => b.priority - a.priority);
+    // A swarm of waiting jobs must not make a round long: the others get their turn in the next.
+    for (const group of pressing.slice(0, MOST_MADE_ROOM)) {
+      const waiting = waitingOf(group);
       // With room on its way, a guarantee alone is no reason to stop others.
       const guaranteeAfterMs = result.unplaced.has(group.job)
         ? this.deps.options.scheduling.guarantee_after_s * 1000
--- a/src/scheduling/round.ts
+++ b/src/scheduling/round.ts
@@ -48,18 +48,16 @@
   view: MachineView | null;
   /** Index into `leaving` of the view, or -1 for the room that is free now. */
   step: number;
+  /** The machine's room before and with this part. */
+  before: Room;
+  room: Room;
   option: OptionView | null;
   /** Tasks it takes in all, and tasks that could go there. */
   slots: number;
   wanted: number;
 }
 
-/** Free room of a machine once the first `steps` of its running tasks have left. */
-function roomAfter(view: MachineView, steps: number): Room {
-  const room = { ...view.free };
-  for (let i = 0; i < steps; i++) takeRoom(room, view.leaving[i]!.room, -1);
-  return room;
-}
+const NO_ROOM: Room = { cpus: -1, gpus: -1, memory: -1 };
 
 interface Edge {
   group: number;
@@ -212,7 +210,17 @@
   const skipped = new Set<number>();
   for (let pass = 0; pass < 3; pass++) {
     const left = groups.filter((g) => !skipped.has(g.job));
-    const dropped = solveOnce(left, machines, rentable, teamRoom, options, result, expired);
+    const found = {
+      ...result,
+      placements: [],
+      rents: new Map(),
+      awaiting: new Map(),
+      held: new Set<number>(),
+    };
+    const dropped = solveOnce(left, machines, rentable, teamRoom, options, found, expired);
+    // Out of time, what an earlier pass has found stands: this one found less.
+    if (pass > 0 && expired()) break;
+    Object.assign(result, found);
     if (dropped.length === 0) break;
     for (const job of dropped) skipped.add(job);
   }
@@ -228,22 +236,36 @@
   result: RoundResult,
   expired: () => boolean,
 ): number[] {
-  result.placements = [];
-  result.rents.clear();
-  result.awaiting.clear();
-  result.held.clear();
   const net = new FlowNetwork();
   const source = net.addNode();
   const sink = net.addNode();
   const unscheduled = net.addNode();
   const targets: Target[] = [];
   for (const view of machines) {
+    let before = NO_ROOM;
+    let room = view.free;
     for (let step = -1; step < view.leaving.length; step++) {
-      targets.push({ node: net.addNode(), view, step, option: null, slots: 0, wanted: 0 });
+      if (step >= 0) {
+        before = room;
+        room = { ...room };
+        takeRoom(room, view.leaving[step]!.room, -1);
+      }
+      targets.push({ node: net.addNode(), view, step, before, room, option: null, slots: 0, wanted: 0 });
     }
   }
-  for (const option of rentable)
-    targets.push({ node: net.addNode(), view: null, step: -1, option, slots: 0, wanted: 0 });
+  for (const option of rentable) {
+    const node = net.addNode();
+    targets.push({
+      node,
+      view: null,
+      step: -1,
+      before: NO_ROOM,
+      room: option.size,
+      option,
+      slots: 0,
+      wanted: 0,
+    });
+  }
   const edges: Edge[] = [];
   let supply = 0;
 
@@ -287,8 +309,8 @@
         const holder = result.reserved.get(view.machine);
         if (holder !== undefined && holder !== group.job) return;
         const step = target.step;
-        const before = step < 0 ? 0 : fits(group.need, roomAfter(view, step));
-        const count = Math.min(wanted, fits(group.need, roomAfter(view, step + 1)) - before);
+        const fresh = fits(group.need, target.room) - fits(group.need, target.before);
+        const count = Math.min(wanted, fresh);
         if (count <= 0) return;
         const own = machineCost(group, view, cheapest, options);
         const later = step < 0 ? view.bootsInS : view.leaving[step]!.inS;
@@ -298,7 +320,7 @@
             : clamp(own);
         edges.push({ group: index, target: at, arc: net.addArc(entry(view.zone), target.node, count, cost) });
         // Room for all groups together, not for the largest one: a machine once took no more than that in a round.
-        target.slots = Math.max(target.slots, fits(group.need, roomAfter(view, step + 1)) - before);
+        target.slots = Math.max(target.slots, fresh);
         target.wanted += count;
       } else if (option && group.only < 0) {
         const each = fits(group.need, option.size);
--- a/test/scheduling/round.test.ts
+++ b/test/scheduling/round.test.ts
@@ -162,6 +162,29 @@
   );
 });
 
+test('a round that runs out of time keeps what it has found', () => {
+  // A gang that stepped back led to a second pass that ran out of time and replaced the first one's placements.
+  const gang = group({ job: 0, pending: 4, gang: true, need: { cpus: 2, gpus: 0, memory: 1 }, priority: 2 });
+  const views = [machine({ machine: 0, free: { cpus: 3, gpus: 0, memory: 16 } })];
+  for (let steps = 1; steps < 12; steps++) {
+    let calls = 0;
+    const result = runRound(
+      [gang, group({ job: 1 })],
+      views,
+      [],
+      FREE_TEAM,
+      sizeOf,
+      OPTIONS,
+      () => ++calls > steps,
+    );
+    assert.deepEqual(
+      result.placements.map((p) => p.job),
+      [1],
+      `after ${steps} steps`,
+    );
+  }
+});
+
 test('a job with patience waits for room that is about to come instead of renting', () => {
   const views = [
     machine({
