--- a/src/leadership/election.ts
+++ b/src/leadership/election.ts
@@ -4,6 +4,9 @@
 import { KEYS } from '../store/keys.ts';
 import type { StoreClient } from '../store/client.ts';
 
+/** What the election needs of the state service. */
+export type LeaseStore = Pick<StoreClient, 'get' | 'txn' | 'grant' | 'renew' | 'revoke' | 'watch'>;
+
 const leaderRecord = z.object({ node: z.string(), term: z.int(), nonce: z.string() });
 const termRecord = z.object({ n: z.int() });
 
@@ -45,12 +48,14 @@
   constructor(
     private readonly node: string,
     private readonly nonce: string,
-    private readonly store: StoreClient,
+    private readonly store: LeaseStore,
     private readonly clock: Clock,
     private readonly random: () => number,
     private readonly options: ElectionOptions,
     private readonly events: ElectionEvents,
     private readonly log: Logger,
+    private readonly pause: (ms: number) => Promise<void> = (ms) =>
+      new Promise((resolve) => setTimeout(resolve, ms)),
   ) {}
 
   start(): void {
@@ -92,10 +97,6 @@
     void this.store.revoke(held.lease);
   }
 
-  private pause(ms: number): Promise<void> {
-    return new Promise((resolve) => setTimeout(resolve, ms));
-  }
-
   private async follow(): Promise<void> {
     let pauseMs = 100;
     while (!this.stopped) {
