Work goes on through an outage of the state service that all controllers see

Cause: a leader that could not renew its lease started nothing, and past the grace the workers' leases ran out. Now the others promise not to stand while they can't reach the service either.

--- a/src/core/service.ts
+++ b/src/core/service.ts
@@ -24,6 +24,7 @@
 import { Owner } from './owner.ts';
 
 const TICK_MS = 200;
+const PROMISE_WAIT_MS = 700;
 const JOB_PATH = /^\/work\/([^/]+)$/;
 const CANCEL_PATH = /^\/work\/([^/]+)\/cancel$/;
 
@@ -83,7 +84,13 @@
       peers,
       (request, reply) => {
         this.owner.post(() => {
-          this.door.onMesh(request, reply);
+          if (request.kind !== 'promise') {
+            this.door.onMesh(request, reply);
+            return;
+          }
+          void this.election.promise(request.ms).then((given) => {
+            reply({ kind: given ? 'promised' : 'unable' });
+          });
         });
       },
       log,
@@ -97,6 +104,7 @@
       teams: this.teams,
       catalog: () => this.catalog,
       leader: () => this.localLeader(),
+      actAlone: () => this.election.actAlone(),
       askLeader: (request, timeoutMs) => {
         const leader = this.election.leader();
         if (leader === null || leader === settings.host_name) return Promise.resolve(null);
@@ -120,6 +128,16 @@
         },
       },
       log,
+      undefined,
+      // Only the promises of all other controllers together say anything.
+      peers.length === settings.settings.nodes - 1
+        ? async (term, ms) => {
+            const asked = peers.map((p) =>
+              this.mesh.ask(p.name, { kind: 'promise', term, ms }, PROMISE_WAIT_MS),
+            );
+            return (await Promise.all(asked)).every((reply) => reply?.kind === 'promised');
+          }
+        : null,
     );
     const limit = (initial: number, min: number, max: number): AdaptiveLimit =>
       new AdaptiveLimit(now, { initial, min, max, slackMs: 300, tolerance: 4 });
--- a/src/jobs/door.ts
+++ b/src/jobs/door.ts
@@ -35,6 +35,8 @@
   teams: readonly TeamLimits[];
   catalog(): Catalog | null;
   leader(): LocalLeader | null;
+  /** Begins a step that is only allowed without a leader; the result ends it. null: not now. */
+  actAlone(): (() => void) | null;
   /** Asks the leading node; null when there is none or it doesn't answer. */
   askLeader(request: MeshRequest, timeoutMs: number): Promise<MeshReply | null>;
 }
@@ -174,7 +176,13 @@
     const answer = await this.deps.askLeader({ kind: 'cancel', jobId: id }, CANCEL_FORWARD_MS);
     if (answer?.kind === 'status') return { kind: 'status', status: answer };
     if (answer?.kind === 'unknown') return { kind: 'missing' };
-    return this.cancelWithoutLeader(id);
+    const end = this.deps.actAlone();
+    if (!end) return { kind: 'unable' };
+    try {
+      return await this.cancelWithoutLeader(id);
+    } finally {
+      end();
+    }
   }
 
   private async cancelAsLeader(id: string): Promise<Looked> {
@@ -220,7 +228,7 @@
 
   // ---- requests handed over by other nodes ----
 
-  onMesh(request: MeshRequest, reply: (reply: MeshReply) => void): void {
+  onMesh(request: Exclude<MeshRequest, { kind: 'promise' }>, reply: (reply: MeshReply) => void): void {
     const leader = this.deps.leader();
     if (!leader) {
       reply({ kind: 'unable' });
--- a/src/leadership/election.ts
+++ b/src/leadership/election.ts
@@ -28,6 +28,8 @@
 }
 
 const MOST_DELAY_MS = 120;
+/** How long a promise not to stand holds. A node that starts knows of none it gave, and waits this long. */
+export const PROMISE_MS = 1500;
 
 /** How long a renewal that was sent at a given moment surely holds, on our own steady clock. */
 export function validUntil(sentAt: number, ttlMs: number): number {
@@ -44,6 +46,12 @@
   private knownLeader: string | null = null;
   private stopped = false;
   private startedAt = 0;
+  /** The other controllers have all promised not to stand until then. */
+  private extendedUntil = -Infinity;
+  /** What this node has promised. */
+  private promisedUntil = -Infinity;
+  /** Steps under way that are only allowed without a leader. */
+  private acting = 0;
 
   constructor(
     private readonly node: string,
@@ -56,6 +64,8 @@
     private readonly log: Logger,
     private readonly pause: (ms: number) => Promise<void> = (ms) =>
       new Promise((resolve) => setTimeout(resolve, ms)),
+    /** Asks all other controllers to promise; null where promises are not used. */
+    private readonly askPromises: ((term: number, ms: number) => Promise<boolean>) | null = null,
   ) {}
 
   start(): void {
@@ -73,12 +83,41 @@
 
   /** True while no other node can hold the leader key. */
   surelyLeading(): boolean {
-    return this.leadership !== null && this.clock.now() < this.surelyUntil;
+    return this.leadership !== null && this.clock.now() < this.sureEnd();
   }
 
   /** Milliseconds since the lease was last sure; 0 while it is. */
   unsureForMs(): number {
-    return Math.max(0, this.clock.now() - this.surelyUntil);
+    return Math.max(0, this.clock.now() - this.sureEnd());
+  }
+
+  private sureEnd(): number {
+    return Math.max(this.surelyUntil, this.extendedUntil);
+  }
+
+  /**
+   * Begins a step that is only allowed while no leader can be extended by promises; the result ends it. null:
+   * not now.
+   */
+  actAlone(): (() => void) | null {
+    const now = this.clock.now();
+    if (now < this.promisedUntil || now < this.startedAt + PROMISE_MS * (1 + DRIFT) + 20) return null;
+    this.acting += 1;
+    return () => {
+      this.acting -= 1;
+    };
+  }
+
+  /**
+   * Asked by a leader that can't reach the state service: this node promises not to stand for a while, but only
+   * if it can't reach it either. Where the service can be reached, the lease decides.
+   */
+  async promise(ms: number): Promise<boolean> {
+    if (this.leadership || this.acting > 0 || ms > PROMISE_MS) return false;
+    const seen = await this.store.get(KEYS.leader, 'lease');
+    if (seen.kind === 'ok' || this.leadership || this.acting > 0) return false;
+    this.promisedUntil = Math.max(this.promisedUntil, this.clock.now() + ms * (1 + DRIFT) + 20);
+    return true;
   }
 
   leader(): string | null {
@@ -92,6 +131,7 @@
     this.leadership = null;
     this.knownLeader = null;
     this.surelyUntil = -Infinity;
+    this.extendedUntil = -Infinity;
     this.log.info({ term: held.term, reason }, 'leadership lost');
     this.events.lost(reason);
     void this.store.revoke(held.lease);
@@ -145,6 +185,16 @@
   }
 
   private async contend(): Promise<void> {
+    const end = this.actAlone();
+    if (!end) return this.pause(50);
+    try {
+      await this.stand();
+    } finally {
+      end();
+    }
+  }
+
+  private async stand(): Promise<void> {
     // When controllers are restarted one after the other, one that has just been is the safest choice.
     const upS = (this.clock.now() - this.startedAt) / 1000;
     await this.pause(Math.min(MOST_DELAY_MS, upS / 2) + this.random() * 20);
@@ -192,6 +242,7 @@
       if (this.leadership !== held) return;
       if (renewed.kind !== 'ok') {
         failures += 1;
+        await this.extend(held);
         continue;
       }
       failures = 0;
@@ -199,4 +250,15 @@
       this.surelyUntil = Math.max(this.surelyUntil, validUntil(sentAt, this.options.ttlMs));
     }
   }
+
+  /** In an outage that all controllers see, the others' promises stand in for the lease. */
+  private async extend(held: Leadership): Promise<void> {
+    if (!this.askPromises) return;
+    const sentAt = this.clock.now();
+    if (!(await this.askPromises(held.term, PROMISE_MS)) || this.leadership !== held) return;
+    if (this.clock.now() >= this.surelyUntil && this.extendedUntil < this.surelyUntil) {
+      this.log.info({ term: held.term }, 'state service not reached, the others promised not to stand');
+    }
+    this.extendedUntil = Math.max(this.extendedUntil, sentAt + PROMISE_MS * (1 - DRIFT) - 20);
+  }
 }
--- a/src/mesh/frames.ts
+++ b/src/mesh/frames.ts
@@ -4,7 +4,9 @@
 export type MeshRequest =
   | { kind: 'poll'; jobId: string }
   | { kind: 'cancel'; jobId: string }
-  | { kind: 'submit'; jobId: string; body: string };
+  | { kind: 'submit'; jobId: string; body: string }
+  /** A leader without the state service asks for a promise not to stand against it. */
+  | { kind: 'promise'; term: number; ms: number };
 
 export type MeshStage = 'pending' | 'running' | 'done' | 'cancelled';
 
@@ -13,7 +15,8 @@
   | { kind: 'status'; created: boolean; stage: MeshStage; done: number; running: number }
   | { kind: 'refused'; status: number; reason: string }
   | { kind: 'unknown' }
-  | { kind: 'unable' };
+  | { kind: 'unable' }
+  | { kind: 'promised' };
 
 export type MeshFrame =
   { id: number; request: MeshRequest; reply: null } | { id: number; request: null; reply: MeshReply };
@@ -33,10 +36,12 @@
           fields: [
             {
               name: 'kind',
-              type: { type: 'enum', name: 'RequestKind', symbols: ['poll', 'cancel', 'submit'] },
+              type: { type: 'enum', name: 'RequestKind', symbols: ['poll', 'cancel', 'submit', 'promise'] },
             },
             { name: 'jobId', type: 'string' },
             { name: 'body', type: 'string' },
+            { name: 'term', type: 'long' },
+            { name: 'ms', type: 'int' },
           ],
         },
       ],
@@ -54,7 +59,7 @@
               type: {
                 type: 'enum',
                 name: 'ReplyKind',
-                symbols: ['status', 'refused', 'unknown', 'unable'],
+                symbols: ['status', 'refused', 'unknown', 'unable', 'promised'],
               },
             },
             { name: 'created', type: 'boolean' },
@@ -79,7 +84,7 @@
 
 interface RawFrame {
   id: number;
-  request: { kind: MeshRequest['kind']; jobId: string; body: string } | null;
+  request: { kind: MeshRequest['kind']; jobId: string; body: string; term: number; ms: number } | null;
   reply: {
     kind: MeshReply['kind'];
     created: boolean;
@@ -91,6 +96,7 @@
   } | null;
 }
 
+const NO_REQUEST = { jobId: '', body: '', term: 0, ms: 0 } as const;
 const NO_REPLY = { created: false, stage: 'pending', done: 0, running: 0, status: 0, reason: '' } as const;
 
 /** Frames are a 4-byte length and the record. Jobs are at most 64 KiB, so anything longer is not ours. */
@@ -99,7 +105,7 @@
 export function encodeFrame(frame: MeshFrame): Buffer {
   const raw: RawFrame = {
     id: frame.id,
-    request: frame.request ? { body: '', ...frame.request } : null,
+    request: frame.request ? { ...NO_REQUEST, ...frame.request } : null,
     reply: frame.reply ? { ...NO_REPLY, ...frame.reply } : null,
   };
   const body = frameType.toBuffer(raw);
@@ -112,9 +118,14 @@
   const raw = frameType.fromBuffer(body) as RawFrame;
   const { id, request, reply } = raw;
   if (request && !reply) {
-    return request.kind === 'submit'
-      ? { id, request: { kind: 'submit', jobId: request.jobId, body: request.body }, reply: null }
-      : { id, request: { kind: request.kind, jobId: request.jobId }, reply: null };
+    switch (request.kind) {
+      case 'submit':
+        return { id, request: { kind: 'submit', jobId: request.jobId, body: request.body }, reply: null };
+      case 'promise':
+        return { id, request: { kind: 'promise', term: request.term, ms: request.ms }, reply: null };
+      default:
+        return { id, request: { kind: request.kind, jobId: request.jobId }, reply: null };
+    }
   }
   if (!reply || request) throw new Error('neither request nor reply');
   switch (reply.kind) {
--- a/test/leadership/election.test.ts
+++ b/test/leadership/election.test.ts
@@ -123,6 +123,7 @@
 
 test('never do two nodes surely lead, terms only rise, and without trouble somebody leads', async () => {
   let led = 0;
+  let extended = 0;
   const day = fc.record({
     seed: fc.integer({ min: 1 }),
     lossy: fc.boolean(),
@@ -160,7 +161,29 @@
           lost: () => undefined,
         };
         const options = { ttlMs: 3000, renewMs: 700 };
-        const args = [model.for(node), clock, () => sim.random(), options, events, silent, pause] as const;
+        // The mesh between the nodes: questions and answers are delayed or lost; the dead don't answer.
+        const ask = async (_term: number, ms: number): Promise<boolean> => {
+          const others = nodes.filter((n) => n !== node);
+          const replies = others.map(async (n) => {
+            await pause(sim.between(1, 400));
+            if (!n.election || sim.chance(0.05)) return false;
+            const given = await n.election.promise(ms);
+            await pause(sim.between(1, 400));
+            return given && !sim.chance(0.05);
+          });
+          const late = pause(900).then(() => [false]);
+          return (await Promise.race([Promise.all(replies), late])).every((r) => r);
+        };
+        const args = [
+          model.for(node),
+          clock,
+          () => sim.random(),
+          options,
+          events,
+          silent,
+          pause,
+          ask,
+        ] as const;
         node.election = new Election(`n${node.i}`, `${node.i}-${life}`, ...args);
         node.election.start();
       };
@@ -178,6 +201,7 @@
         });
       }
       const watch = (): void => {
+        extended += nodes.filter((n) => n.election?.surelyLeading() && sim.at < model.outageUntil - 1).length;
         const sure = nodes.filter((n) => n.election?.surelyLeading());
         assert.ok(sure.length <= 1, `${sure.length} nodes lead at ${sim.at}`);
         sim.after(20, watch);
@@ -190,4 +214,6 @@
     { seed: SEED, numRuns: 25, endOnFailure: true, includeErrorInReport: true },
   );
   assert.ok(led >= 25);
+  // Outages that all see don't end a leadership.
+  assert.ok(extended > 1000, `${extended}`);
 });
--- a/test/mesh/frames.test.ts
+++ b/test/mesh/frames.test.ts
@@ -13,6 +13,7 @@
     request: fc.oneof(
       fc.record({ kind: fc.constantFrom('poll' as const, 'cancel' as const), jobId: fc.string() }),
       fc.record({ kind: fc.constant('submit' as const), jobId: fc.string(), body: fc.string() }),
+      fc.record({ kind: fc.constant('promise' as const), term: fc.nat(), ms: fc.nat() }),
     ),
     reply: fc.constant(null),
   }),
@@ -28,7 +29,7 @@
         running: fc.nat(),
       }),
       fc.record({ kind: fc.constant('refused' as const), status: fc.nat(), reason: fc.string() }),
-      fc.record({ kind: fc.constantFrom('unknown' as const, 'unable' as const) }),
+      fc.record({ kind: fc.constantFrom('unknown' as const, 'unable' as const, 'promised' as const) }),
     ),
   }),
 );
