--- a/src/wire/user.ts
+++ b/src/wire/user.ts
@@ -4,7 +4,8 @@
 const MAX_TASKS = 100_000;
 const JOB_ID = /^req-\d{1,20}$/;
 
-const SHAPES = { array: 'array', ensemble: 'gang' } as const;
+/** `daemon` is asked for by the users' checks on real processes: an array whose tasks run until it is cancelled. */
+const SHAPES = { array: 'array', ensemble: 'gang', daemon: 'array' } as const;
 const RANKS = { critical: 3, urgent: 2, standard: 1, low: 0 } as const;
 
 export type JobStage = 'pending' | 'running' | 'done' | 'cancelled';
@@ -19,7 +20,7 @@
   uid: z.string().check(z.regex(JOB_ID)),
   batch: z.string(),
   crew: z.string(),
-  shape: z.enum(['array', 'ensemble']),
+  shape: z.enum(['array', 'ensemble', 'daemon']),
   rank: z.enum(['critical', 'urgent', 'standard', 'low']),
   loaves: z.int().check(z.minimum(1), z.maximum(MAX_TASKS)),
   cores: amount,
