--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -47,7 +47,6 @@
   members: Set<Attempt>;
   /** Set when the run is over or must end; a new one starts once all members are released. */
   ending: boolean;
-  started: boolean;
 }
 
 export interface LeaderDeps {
@@ -399,7 +398,6 @@
             },
             'task running',
           );
-          this.onGangRunning(e.attempt);
           break;
         case 'released':
           this.onReleased(e.attempt, e.saved);
@@ -440,11 +438,6 @@
     this.log.debug({ job: job.id }, 'gang ends');
   }
 
-  private onGangRunning(a: Attempt): void {
-    const gang = a.job ? this.gangs.get(a.job) : undefined;
-    if (gang) gang.started = true;
-  }
-
   private onReleased(a: Attempt, saved: boolean): void {
     this.dirty = true;
     const job = a.job;
@@ -915,7 +908,7 @@
   private joinGang(job: Job, a: Attempt): Gang {
     let gang = this.gangs.get(job);
     if (!gang) {
-      gang = { number: a.number, members: new Set(), ending: false, started: false };
+      gang = { number: a.number, members: new Set(), ending: false };
       this.gangs.set(job, gang);
     }
     gang.members.add(a);
--- a/src/core/views.ts
+++ b/src/core/views.ts
@@ -117,7 +117,7 @@
     const now = this.deps.host.clock.now();
     for (const m of this.c.machines.values()) {
       const type = this.deps.catalog.types[m.type];
-      if (!type || m.returning || m.draining || m.takenAt !== null) continue;
+      if (!type || m.returning || m.takenAt !== null) continue;
       if (m.session === 0 || m.sessionOver) continue;
       const reportMs = this.deps.settings.settings.workers.report_s * 1000;
       if (now - m.heardAt > reportMs * 1.6) continue;
--- a/src/mesh/mesh.ts
+++ b/src/mesh/mesh.ts
@@ -28,7 +28,6 @@
 /** One outgoing connection to a peer, made when needed and made anew after it failed. */
 class PeerLink {
   private socket: Socket | null = null;
-  private ready = false;
   private nextId = 1;
   private readonly waiting = new Map<number, Waiting>();
 
@@ -57,9 +56,6 @@
     const socket = connect(split(this.address));
     socket.setNoDelay(true);
     this.socket = socket;
-    socket.on('connect', () => {
-      this.ready = true;
-    });
     readFrames(socket, this.log, (frame) => {
       if (!frame.reply) return;
       const waiter = this.waiting.get(frame.id);
@@ -80,7 +76,6 @@
   private drop(): void {
     this.socket?.destroy();
     this.socket = null;
-    this.ready = false;
     for (const waiter of this.waiting.values()) {
       clearTimeout(waiter.timer);
       waiter.resolve(null);
@@ -88,10 +83,6 @@
     this.waiting.clear();
   }
 
-  get connected(): boolean {
-    return this.ready;
-  }
-
   close(): void {
     this.drop();
   }
--- a/src/scheduling/round.ts
+++ b/src/scheduling/round.ts
@@ -203,7 +203,6 @@
     unplaced: new Map(),
     held: new Set(),
     reserved: reserve(groups, machines, sizeOf, options),
-    cut: ordered.length > groups.length,
   };
   for (const group of groups) if (group.only >= 0) result.reserved.set(group.only, group.job);
   // A gang of which only a part found room must not hold the rest back: it is left out and the round repeated.
--- a/src/scheduling/solver.ts
+++ b/src/scheduling/solver.ts
@@ -14,14 +14,6 @@
     return this.head.length - 1;
   }
 
-  get nodes(): number {
-    return this.head.length;
-  }
-
-  get arcs(): number {
-    return this.to.length / 2;
-  }
-
   addArc(from: number, to: number, capacity: number, cost: number): number {
     const arc = this.to.length;
     this.half(from, to, capacity, cost);
--- a/src/scheduling/view.ts
+++ b/src/scheduling/view.ts
@@ -100,7 +100,6 @@
   reserved: Map<number, number>;
   /** Machines with room that is kept for expected tasks. */
   held: Set<number>;
-  cut: boolean;
 }
 
 const EPSILON = 1e-6;
--- a/src/store/budget.ts
+++ b/src/store/budget.ts
@@ -4,7 +4,7 @@
   private at: number;
 
   constructor(
-    private perSecond: number,
+    private readonly perSecond: number,
     private readonly now: () => number,
   ) {
     this.level = perSecond;
@@ -30,10 +30,4 @@
     this.refill();
     return this.level >= amount ? 0 : Math.ceil(((amount - this.level) / this.perSecond) * 1000);
   }
-
-  setRate(perSecond: number): void {
-    this.refill();
-    this.perSecond = perSecond;
-    this.level = Math.min(this.level, perSecond);
-  }
 }
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -53,8 +53,6 @@
   /** Nothing that an earlier leader started can be on it without being known. */
   accounted = false;
   returning = false;
-  /** Ordered out: no new tasks, and returned as soon as it is empty. */
-  draining = false;
   idleSince: number;
   errors = 0;
   lastErrorAt = -Infinity;
