One way to take amounts and fetch times; views change nothing

Found on reading the whole change again: the amounts of a job or type were copied out by hand in eight places, the fetch time worked out in four; making views ended a job's aim on the side, which is now derived where it is read; fields that nothing read are gone. Behaviour is meant to be the same.

--- a/src/core/intern.ts
+++ b/src/core/intern.ts
@@ -25,8 +25,4 @@
   name(index: number): string {
     return this.names[index] ?? '?';
   }
-
-  get size(): number {
-    return this.names.length;
-  }
 }
--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -5,7 +5,7 @@
 import type { Options } from '../config/options.ts';
 import type { TeamLimits } from '../jobs/admission.ts';
 import type { Catalog } from '../fleet/catalog.ts';
-import { Fleet } from '../fleet/fleet.ts';
+import { Fleet, type IdleMachine } from '../fleet/fleet.ts';
 import type { Cloud } from '../fleet/cloud.ts';
 import { ASSIGNED, Job } from '../jobs/job.ts';
 import { chunkValue, finalValue, readChunk, readOpen } from '../jobs/records.ts';
@@ -20,7 +20,14 @@
 import { Views } from './views.ts';
 import { runRound } from '../scheduling/round.ts';
 import { pickVictims, type VictimView } from '../scheduling/preempt.ts';
-import { type GroupView, type MachineView, type RoundResult, type TeamRoom } from '../scheduling/view.ts';
+import {
+  fetchTime,
+  roomOf,
+  type GroupView,
+  type MachineView,
+  type RoundResult,
+  type TeamRoom,
+} from '../scheduling/view.ts';
 
 /** What the leader does to the world; all of it goes through here, so tests can watch. */
 export interface LeaderHost {
@@ -109,7 +116,6 @@
       zones: deps.zones,
       options: deps.options,
       term: deps.term,
-      listLagS: deps.settings.settings.cloud.list_lag_s,
       post: (command) => {
         deps.host.post(command);
       },
@@ -368,7 +374,7 @@
     machine.pushAfter = 0;
     const rate = this.deps.catalog.types[machine.type]?.fetchGbPerS ?? 0;
     if (!machine.images.has(job.spec.image) && rate > 0) {
-      machine.images.set(job.spec.image, this.now() + (job.spec.imageGb / rate) * 1000);
+      machine.images.set(job.spec.image, this.now() + fetchTime(job.spec.imageGb, rate) * 1000);
     }
     this.hold(a);
     job.waitingSince = this.now();
@@ -745,9 +751,9 @@
     this.probing.add(m);
     void this.deps.host.inspect(m).then((report) => {
       void this.deps.host.pause(800).then(() => this.probing.delete(m));
-      if (report) m.probesFailed = 0;
-      else m.probesFailed += 1;
-      if (report) {
+      if (!report) m.probesFailed += 1;
+      else {
+        m.probesFailed = 0;
         this.deps.host.post(() => {
           if (!this.stopped && this.machines.has(report.machine)) this.takeReport(report, true);
         });
@@ -842,7 +848,7 @@
     const { catalog } = this.deps;
     const sizeOf = (type: number) => {
       const t = catalog.types[type];
-      return t ? { cpus: t.cpus, gpus: t.gpus, memory: t.memory } : null;
+      return t ? roomOf(t) : null;
     };
     const teamRoom = this.views.teamRooms();
     const deadline = now + scheduling.round_limit_ms;
@@ -915,14 +921,12 @@
     return gang;
   }
 
-  private idleMachines(
-    held: ReadonlySet<number>,
-  ): { name: string; type: number; zone: number; spot: boolean; idleMs: number }[] {
+  private idleMachines(held: ReadonlySet<number>): IdleMachine[] {
     const now = this.now();
-    const idle = [];
+    const idle: IdleMachine[] = [];
     for (const m of this.machines.values()) {
       if (m.returning || m.liveCount > 0 || !m.accounted || held.has(m.index)) continue;
-      idle.push({ name: m.name, type: m.type, zone: m.zone, spot: m.id.spot, idleMs: now - m.idleSince });
+      idle.push({ name: m.name, type: m.type, idleMs: now - m.idleSince });
     }
     return idle;
   }
@@ -978,7 +982,13 @@
   ): boolean {
     const fetchS = (m: MachineView): number => m.fetchS(group.image, group.imageGb);
     const chosen = machines.find((m) => m.machine === placed);
-    if (!group.quick || job.spec.tasks !== 1 || job.aim || !chosen || !this.deps.options.scheduling.preempt)
+    if (
+      !group.quick ||
+      job.spec.tasks !== 1 ||
+      group.only >= 0 ||
+      !chosen ||
+      !this.deps.options.scheduling.preempt
+    )
       return false;
     const slackS = group.slackS - SETTLE_S;
     if (fetchS(chosen) <= slackS) return false;
--- a/src/core/service.ts
+++ b/src/core/service.ts
@@ -97,7 +97,6 @@
     );
     this.door = new UserDoor({
       clock: this.clock,
-      log,
       options,
       store: this.store,
       finals: this.finals,
--- a/src/core/views.ts
+++ b/src/core/views.ts
@@ -9,7 +9,16 @@
 import type { Job } from '../jobs/job.ts';
 import type { ArrivalForecast } from '../scheduling/forecast.ts';
 import type { VictimView } from '../scheduling/preempt.ts';
-import { fits, type GroupView, type MachineView, type Room, type TeamRoom } from '../scheduling/view.ts';
+import {
+  fetchTime,
+  fits,
+  roomOf,
+  takeRoom,
+  type GroupView,
+  type MachineView,
+  type Room,
+  type TeamRoom,
+} from '../scheduling/view.ts';
 import type { JobRequest } from '../wire/user.ts';
 
 /** What the leader knows, as far as a round needs it. */
@@ -45,16 +54,11 @@
     private readonly deps: ViewDeps,
   ) {}
 
-  freeOf(m: Machine): Room {
+  private freeOf(m: Machine): Room {
     const type = this.deps.catalog.types[m.type];
     if (!type || m.hasForeign) return { cpus: 0, gpus: 0, memory: 0 };
-    const free = { cpus: type.cpus, gpus: type.gpus, memory: type.memory };
-    for (const a of m.attempts.values()) {
-      if (a.released || !a.job) continue;
-      free.cpus -= a.job.spec.cpus;
-      free.gpus -= a.job.spec.gpus;
-      free.memory -= a.job.spec.memory;
-    }
+    const free = roomOf(type);
+    for (const a of m.attempts.values()) if (!a.released && a.job) takeRoom(free, a.job.spec);
     return free;
   }
 
@@ -64,7 +68,7 @@
     for (const a of m.attempts.values()) {
       if (a.released || !a.job) continue;
       const { spec } = a.job;
-      const room = { cpus: spec.cpus, gpus: spec.gpus, memory: spec.memory };
+      const room = roomOf(spec);
       let inS: number;
       if (a.stopGraceS !== null) inS = a.stopGraceS;
       else {
@@ -135,7 +139,7 @@
         bootsInS: ready ? 0 : 1,
         fetchS: (image, gb) => {
           const readyAt = m.images.get(image);
-          if (readyAt === undefined) return type.fetchGbPerS > 0 ? gb / type.fetchGbPerS : 0;
+          if (readyAt === undefined) return fetchTime(gb, type.fetchGbPerS);
           return Math.max(0, readyAt - now) / 1000;
         },
         warm: this.warmth(m),
@@ -151,11 +155,11 @@
         type: b.type,
         zone: b.zone,
         spot: b.spot,
-        free: { cpus: type.cpus, gpus: type.gpus, memory: type.memory },
+        free: roomOf(type),
         leaving: [],
         load: 0,
         bootsInS: Math.max(1, type.bootS - (now - b.rentedAt) / 1000),
-        fetchS: (_image, gb) => (type.fetchGbPerS > 0 ? gb / type.fetchGbPerS : 0),
+        fetchS: (_image, gb) => fetchTime(gb, type.fetchGbPerS),
         warm: 0,
         parked: false,
         penalty: 0,
@@ -211,7 +215,6 @@
       if (job.spec.gang && (this.c.gangs.has(job) || (this.c.liveOf.get(job)?.size ?? 0) > 0)) continue;
       const spec = job.spec;
       const slackS = this.slackOf(job);
-      if (job.aim && now > job.aim.until) job.aim = null;
       const liveByZone = new Map<number, number>();
       if (spec.oneZone || spec.spread) {
         for (const a of this.c.liveOf.get(job) ?? []) {
@@ -224,7 +227,7 @@
         pending: job.pendingCount,
         gang: spec.gang,
         priority: spec.priority,
-        need: { cpus: spec.cpus, gpus: spec.gpus, memory: spec.memory },
+        need: roomOf(spec),
         types: spec.types ? new Set(spec.types.map((t) => this.deps.catalog.typeIndex(t))) : null,
         zone: spec.zone === null ? -1 : this.deps.zones.index(spec.zone),
         spot: spec.spot,
@@ -237,7 +240,7 @@
         image: spec.image,
         imageGb: spec.imageGb,
         avoid: job.avoid,
-        only: job.aim?.machine ?? -1,
+        only: job.aim && now <= job.aim.until ? job.aim.machine : -1,
         patienceS: this.patienceOf(slackS),
         slackS,
         guaranteed: guaranteed.has(job),
@@ -253,7 +256,7 @@
       let best: { price: number; bootS: number } | null = null;
       for (const type of this.deps.catalog.types) {
         if (job.types && !job.types.includes(type.name)) continue;
-        if (fits({ cpus: job.cpus, gpus: job.gpus, memory: job.memory }, type) === 0) continue;
+        if (fits(job, type) === 0) continue;
         if (!best || type.price < best.price) best = type;
       }
       return best?.bootS ?? 0;
@@ -265,7 +268,7 @@
       pending: e.tasks,
       gang: false,
       priority: 0,
-      need: { cpus: e.like.cpus, gpus: e.like.gpus, memory: e.like.memory },
+      need: roomOf(e.like),
       types: e.like.types ? new Set(e.like.types.map((t) => this.deps.catalog.typeIndex(t))) : null,
       zone: -1,
       spot: e.like.spot,
@@ -337,7 +340,7 @@
       const last = m.leaving.at(-1)?.inS ?? m.bootsInS;
       m.leaving.push({
         inS: last + seconds / tasks,
-        room: { cpus: size.cpus, gpus: size.gpus, memory: size.memory },
+        room: roomOf(size),
       });
     }
   }
@@ -352,10 +355,7 @@
       team: a.job?.team ?? -1,
       beyondGuarantee: a.job !== null && !guaranteed.has(a.job),
       stopping: a.stopGraceS !== null,
-      need: a.job
-        ? { cpus: a.job.spec.cpus, gpus: a.job.spec.gpus, memory: a.job.spec.memory }
-        : { cpus: 0, gpus: 0, memory: 0 },
-      gang: a.job?.spec.gang ?? false,
+      need: a.job ? roomOf(a.job.spec) : { cpus: 0, gpus: 0, memory: 0 },
       lossS:
         a.runningSince === null
           ? 0
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -2,7 +2,7 @@
 import type { Intern } from '../core/intern.ts';
 import type { Logger } from '../core/log.ts';
 import type { Options } from '../config/options.ts';
-import type { OptionView } from '../scheduling/view.ts';
+import { roomOf, type OptionView } from '../scheduling/view.ts';
 import type { Catalog } from './catalog.ts';
 import type { Cloud } from './cloud.ts';
 
@@ -14,7 +14,6 @@
   zones: Intern;
   options: Options;
   term: number;
-  listLagS: number;
   post(command: () => void): void;
   pause(ms: number): Promise<void>;
   returning(names: readonly string[]): void;
@@ -46,8 +45,6 @@
 export interface IdleMachine {
   name: string;
   type: number;
-  zone: number;
-  spot: boolean;
   idleMs: number;
 }
 
@@ -127,7 +124,7 @@
         type: o.type,
         zone: o.zone,
         spot: o.spot,
-        size: { cpus: type.cpus, gpus: type.gpus, memory: type.memory },
+        size: roomOf(type),
         max: this.deps.options.fleet.rent_at_once,
         price: o.spot ? type.spotPrice : type.price,
         bootS: type.bootS,
--- a/src/jobs/door.ts
+++ b/src/jobs/door.ts
@@ -1,5 +1,4 @@
 import type { Clock } from '../core/clock.ts';
-import type { Logger } from '../core/log.ts';
 import type { Options } from '../config/options.ts';
 import type { Catalog } from '../fleet/catalog.ts';
 import { failure, type Answer, type Reply } from '../http/server.ts';
@@ -28,7 +27,6 @@
 
 export interface DoorDeps {
   clock: Clock;
-  log: Logger;
   options: Options;
   store: StoreClient;
   finals: FinalCache;
--- a/src/scheduling/preempt.ts
+++ b/src/scheduling/preempt.ts
@@ -16,7 +16,6 @@
   beyondGuarantee: boolean;
   stopping: boolean;
   need: Room;
-  gang: boolean;
   /** Seconds of work that stopping it loses. */
   lossS: number;
 }
--- a/src/scheduling/round.ts
+++ b/src/scheduling/round.ts
@@ -1,5 +1,6 @@
 import { FlowNetwork } from './solver.ts';
 import {
+  fetchTime,
   fits,
   takeRoom,
   teamFits,
@@ -85,10 +86,6 @@
   return (fetch * options.fetchSteps + dearer * options.priceSteps + m.penalty + affinity + parked) * STEP;
 }
 
-function fetchS(group: GroupView, option: OptionView): number {
-  return option.fetchGbPerS > 0 ? group.imageGb / option.fetchGbPerS : 0;
-}
-
 /** The one zone for a group that must stay together: where its tasks are, else where most fits, else cheapest. */
 function pickZone(
   group: GroupView,
@@ -325,7 +322,8 @@
         const each = fits(group.need, option.size);
         const count = Math.min(wanted, each * option.max);
         if (count === 0) return;
-        const waitS = option.bootS + fetchS(group, option) + group.patienceS + options.rentBiasS;
+        const waitS =
+          option.bootS + fetchTime(group.imageGb, option.fetchGbPerS) + group.patienceS + options.rentBiasS;
         const cost = BAND + press + clamp((option.price / each) * options.rentSteps + waitS * STEP);
         edges.push({
           group: index,
--- a/src/scheduling/view.ts
+++ b/src/scheduling/view.ts
@@ -118,6 +118,16 @@
   free.memory -= need.memory * count;
 }
 
+/** Just the amounts of something that has them: a job's need of a task, a machine type's size. */
+export function roomOf({ cpus, gpus, memory }: Room): Room {
+  return { cpus, gpus, memory };
+}
+
+/** Seconds to fetch an image; a rate that isn't known counts as no time. */
+export function fetchTime(gb: number, gbPerS: number): number {
+  return gbPerS > 0 ? gb / gbPerS : 0;
+}
+
 /** How many tasks a team's limit still takes. */
 export function teamFits(need: Room, room: TeamRoom): number {
   return fits({ ...need, memory: 0 }, { ...room, memory: 0 });
--- a/test/scheduling/round.test.ts
+++ b/test/scheduling/round.test.ts
@@ -217,7 +217,6 @@
     beyondGuarantee: false,
     stopping: false,
     need: { cpus: 2, gpus: 0, memory: 1 },
-    gang: false,
     lossS: 1,
     ...over,
   });
