--- a/src/config/options.ts
+++ b/src/config/options.ts
@@ -48,7 +48,7 @@
       'cost of a rented machine per unit of hourly price and task',
     ),
     spare_swing: tunable(
-      2,
+      3,
       0,
       10,
       'times',
--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -347,7 +347,6 @@
       underWay: 0,
       assignedAt: this.now(),
       runningSince: null,
-      launchedInSeq: -1,
     };
     machine.attempts.set(attemptKey(a.jobId, task, number), a);
     machine.pushAfter = 0;
--- a/src/core/service.ts
+++ b/src/core/service.ts
@@ -1,4 +1,5 @@
 import { randomUUID } from 'node:crypto';
+import type { Server } from 'node:http';
 import type { Options } from '../config/options.ts';
 import type { Settings } from '../config/settings.ts';
 import { Catalog, catalogValue, readCatalogValue } from '../fleet/catalog.ts';
@@ -44,6 +45,8 @@
   private readonly graceMs: number;
   private catalog: Catalog | null = null;
   private leader: Leader | null = null;
+  private server: Server | null = null;
+  private ticker: NodeJS.Timeout | undefined;
 
   constructor(
     private readonly settings: Settings,
@@ -126,17 +129,36 @@
 
   async start(): Promise<void> {
     await this.mesh.listen(this.settings.mesh_addr);
-    await listen(this.settings.serve_on, (request, reply) => {
+    this.server = await listen(this.settings.serve_on, (request, reply) => {
       this.route(request, reply);
     });
     this.log.info({ on: this.settings.serve_on }, 'serving');
     this.election.start();
     void this.readCatalog();
-    setInterval(() => {
+    this.ticker = setInterval(() => {
       this.owner.post(() => undefined);
     }, TICK_MS);
   }
 
+  /** Where users and workers reach this node; tests let the system choose the port. */
+  address(): string {
+    const at = this.server?.address();
+    return typeof at === 'object' && at ? `${at.address}:${at.port}` : this.settings.serve_on;
+  }
+
+  /** Ends all work of this node, for use inside another program; a controller just runs until killed. */
+  stop(): void {
+    this.election.stop();
+    this.election.stepDown('stopped');
+    clearInterval(this.ticker);
+    this.server?.close();
+    this.server?.closeAllConnections();
+    this.mesh.close();
+    this.store.close();
+    this.cloud.close();
+    this.workers.close();
+  }
+
   private async readCatalog(): Promise<void> {
     for (let pauseMs = 300; !this.catalog; pauseMs = Math.min(3000, pauseMs * 2)) {
       // Both are asked at once: a node that starts while the cloud is in trouble must still be able to lead.
--- a/src/fleet/cloud.ts
+++ b/src/fleet/cloud.ts
@@ -98,4 +98,8 @@
       after = last.name;
     }
   }
+
+  close(): void {
+    this.http.close();
+  }
 }
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -144,4 +144,9 @@
     if (result.kind === 'answer' && result.status === 410) return { kind: 'gone' };
     return this.settle(result, wire.decodeEvents);
   }
+
+  close(): void {
+    this.http.close();
+    this.watchHttp.close();
+  }
 }
--- a/src/workers/client.ts
+++ b/src/workers/client.ts
@@ -29,4 +29,8 @@
     const report = decodeReport(result.body);
     return report.ok ? report.value : null;
   }
+
+  close(): void {
+    this.agent.destroy();
+  }
 }
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -23,8 +23,6 @@
   underWay: number;
   assignedAt: number;
   runningSince: number | null;
-  /** Sequence number of the last report before its launch was last put in an answer. */
-  launchedInSeq: number;
 }
 
 export interface MachineIdentity {
--- a/src/workers/reconcile.ts
+++ b/src/workers/reconcile.ts
@@ -84,7 +84,6 @@
         underWay: 0,
         assignedAt: ctx.now,
         runningSince: null,
-        launchedInSeq: -1,
       };
       machine.attempts.set(key, a);
     }
--- a/standins/cloud.ts
+++ b/standins/cloud.ts
@@ -1,3 +1,4 @@
+import type { Server } from 'node:http';
 import { serveJson, type Answer } from './http.ts';
 import { WorkerStandIn, type Place, type Recipes } from './worker.ts';
 
@@ -21,11 +22,20 @@
     private readonly recipes: Recipes,
   ) {}
 
+  private server: Server | null = null;
+
   async start(): Promise<string> {
-    const { address } = await serveJson((method, url, body) => this.route(method, url, body));
+    const { server, address } = await serveJson((method, url, body) => this.route(method, url, body));
+    this.server = server;
     return address;
   }
 
+  stop(): void {
+    this.server?.close();
+    this.server?.closeAllConnections();
+    for (const m of this.machines.values()) m.worker.stop();
+  }
+
   private route(method: string, url: URL, body: Record<string, unknown>): Answer {
     if (url.pathname === '/catalog') return { status: 200, body: { ovens: OVENS } };
     if (url.pathname === '/rentals/return') {
--- a/standins/state.ts
+++ b/standins/state.ts
@@ -1,3 +1,4 @@
+import type { Server } from 'node:http';
 import { serveJson, type Answer } from './http.ts';
 
 interface Entry {
@@ -16,11 +17,24 @@
   private ledger = 1;
   private nextLease = 1;
 
+  /** An outage: every request is refused until it is over. */
+  down = false;
+  private server: Server | null = null;
+
   async start(): Promise<string> {
-    const { address } = await serveJson((method, url, body) => this.route(method, url, body));
+    const { server, address } = await serveJson((method, url, body) =>
+      this.down ? { status: 503, body: {} } : this.route(method, url, body),
+    );
+    this.server = server;
     return address;
   }
 
+  stop(): void {
+    this.server?.close();
+    this.server?.closeAllConnections();
+    for (const id of [...this.leases.keys()]) this.end(id);
+  }
+
   private route(method: string, url: URL, body: Record<string, unknown>): Answer | Promise<Answer> {
     const path = decodeURIComponent(url.pathname);
     if (path === '/store') return this.list(url.searchParams);
@@ -124,6 +138,7 @@
         },
         Number(query.get('holdMs') ?? 0),
       );
+      timer.unref();
       this.waiting.add(wake);
     });
   }
--- /dev/null
+++ b/test/core/service.test.ts
@@ -0,0 +1,116 @@
+import assert from 'node:assert/strict';
+import test, { after, before } from 'node:test';
+import { defaultOptions } from '../../src/config/options.ts';
+import { parseSettings } from '../../src/config/settings.ts';
+import { Service } from '../../src/core/service.ts';
+import { CloudStandIn } from '../../standins/cloud.ts';
+import { StateStandIn } from '../../standins/state.ts';
+import { SETTINGS } from '../config/sample.ts';
+import { silent } from '../helpers.ts';
+import { JOB } from '../wire/sample.ts';
+
+/** One real controller on ports that the system chooses, against the stand-ins. */
+const state = new StateStandIn();
+const cloud = new CloudStandIn([], new Map());
+let service: Service;
+let base = '';
+
+const job = (over: object = {}): object => ({ ...JOB, ovens: ['g8'], cores: 1, loaves: 2, ...over });
+
+async function send(
+  method: string,
+  path: string,
+  body?: unknown,
+): Promise<{ status: number; text: string; after: string | null }> {
+  const text = body === undefined || typeof body === 'string' ? body : JSON.stringify(body);
+  const res = await fetch(base + path, { method, ...(text === undefined ? {} : { body: text }) });
+  return { status: res.status, text: await res.text(), after: res.headers.get('retry-after') };
+}
+
+before(async () => {
+  const settings = parseSettings(
+    JSON.stringify({
+      ...SETTINGS,
+      serve_on: '127.0.0.1:0',
+      mesh_addr: '127.0.0.1:0',
+      endpoints: { state: await state.start(), cloud: await cloud.start() },
+    }),
+  );
+  service = new Service(settings, defaultOptions(), silent);
+  await service.start();
+  base = `http://${service.address()}`;
+  for (;;) {
+    if ((await send('GET', '/healthz')).status === 200) break;
+  }
+});
+
+after(() => {
+  service.stop();
+  state.stop();
+  cloud.stop();
+});
+
+test('a job is accepted once and then answered with its state', async () => {
+  const id = 'req-000001';
+  const first = await send('POST', '/work', job({ uid: id }));
+  assert.deepEqual(
+    [first.status, JSON.parse(first.text)],
+    [201, { uid: id, stage: 'pending', done: 0, running: 0 }],
+  );
+  assert.equal((await send('POST', '/work', job({ uid: id }))).status, 200);
+  assert.equal(
+    (await send('POST', '/work', { uid: id, loaves: 'many' })).status,
+    200,
+    'whatever else is sent',
+  );
+  assert.equal((await send('GET', `/work/${id}`)).status, 200);
+});
+
+test('a cancelled job remains cancelled', async () => {
+  const id = 'req-000002';
+  assert.equal((await send('POST', '/work', job({ uid: id }))).status, 201);
+  let answer = await send('POST', `/work/${id}/cancel`);
+  while (answer.status === 503) answer = await send('POST', `/work/${id}/cancel`);
+  assert.deepEqual([answer.status, JSON.parse(answer.text).stage], [200, 'aborted']);
+  assert.equal(JSON.parse((await send('GET', `/work/${id}`)).text).stage, 'aborted');
+  assert.equal(JSON.parse((await send('POST', '/work', job({ uid: id }))).text).stage, 'aborted');
+  assert.equal(JSON.parse((await send('POST', `/work/${id}/cancel`)).text).stage, 'aborted');
+});
+
+test('bad input is refused with the right status and harms nothing', async () => {
+  const cases: [string, string, unknown, number][] = [
+    ['POST', '/work', 'not json', 400],
+    ['POST', '/work', [], 400],
+    ['POST', '/work', job({ uid: 'nonsense' }), 400],
+    ['POST', '/work', job({ uid: 'req-000009', loaves: 0 }), 400],
+    ['POST', '/work', 'x'.repeat(70_000), 400],
+    ['POST', '/work', job({ uid: 'req-000009', crew: 'nobody' }), 422],
+    ['POST', '/work', job({ uid: 'req-000009', cores: 500 }), 422],
+    ['POST', '/work', job({ uid: 'req-000009', accelerators: 4, loaves: 5 }), 422],
+    ['GET', '/work/req-000009', undefined, 404],
+    ['GET', '/work/other', undefined, 404],
+    ['POST', '/work/req-000009/cancel', undefined, 404],
+    ['GET', '/nowhere', undefined, 404],
+    ['DELETE', '/work/req-000009', undefined, 405],
+    ['GET', '/work', undefined, 405],
+    ['GET', '/checkin', undefined, 405],
+    ['POST', '/checkin', { hearth: 'n-1' }, 400],
+  ];
+  for (const [method, path, body, status] of cases) {
+    const answer = await send(method, path, body);
+    assert.equal(answer.status, status, `${method} ${path} ${answer.text}`);
+    assert.ok(!answer.text.includes('\n'));
+  }
+  assert.equal((await send('GET', '/healthz')).status, 200);
+});
+
+test('without the state service a submission is refused at once, with Retry-After', async () => {
+  state.down = true;
+  const answer = await send('POST', '/work', job({ uid: 'req-000010' }));
+  assert.equal(answer.status, 503);
+  assert.ok(Number(answer.after) >= 1);
+  state.down = false;
+  let again = await send('POST', '/work', job({ uid: 'req-000010' }));
+  while (again.status === 503) again = await send('POST', '/work', job({ uid: 'req-000010' }));
+  assert.equal(again.status, 201);
+});
--- /dev/null
+++ b/test/workers/reconcile.test.ts
@@ -0,0 +1,144 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import fc from 'fast-check';
+import { Job } from '../../src/jobs/job.ts';
+import { decodeStoredJob } from '../../src/wire/user.ts';
+import type { Report, ReportedTask } from '../../src/wire/worker.ts';
+import { attemptKey, Machine, type Attempt } from '../../src/workers/machine.ts';
+import { applyReport, commandsFor, isNewer, mayForget } from '../../src/workers/reconcile.ts';
+import { SEED } from '../helpers.ts';
+import { JOB } from '../wire/sample.ts';
+
+const decoded = decodeStoredJob(JOB);
+assert.ok(decoded.ok);
+const SPEC = decoded.value;
+const IDENTITY = { name: 'n-1', address: 'x:1', machineType: 'g8', zone: 'a', spot: false };
+
+function setup(): { machine: Machine; job: Job; launch: (task: number) => Attempt } {
+  const machine = new Machine(0, IDENTITY, 0, 0, 0, 0);
+  const job = new Job(SPEC, 0, 0, false, 0);
+  const launch = (task: number): Attempt => {
+    const a: Attempt = {
+      jobId: job.id,
+      task,
+      number: 7,
+      machine,
+      job,
+      phase: 'launching',
+      seen: false,
+      released: false,
+      cause: null,
+      stopGraceS: null,
+      doubt: false,
+      underWay: 0,
+      assignedAt: 0,
+      runningSince: null,
+    };
+    machine.attempts.set(attemptKey(job.id, task, 7), a);
+    return a;
+  };
+  return { machine, job, launch };
+}
+
+const reported = (task: number, over: Partial<ReportedTask> = {}): ReportedTask => ({
+  jobId: SPEC.id,
+  task,
+  attempt: 7,
+  phase: 'running',
+  cause: null,
+  saved: false,
+  ...over,
+});
+
+const report = (session: number, seq: number, tasks: ReportedTask[]): Report => ({
+  machine: 'n-1',
+  address: 'x:1',
+  machineType: 'g8',
+  zone: 'a',
+  spot: false,
+  session,
+  seq,
+  token: 1,
+  noticeS: null,
+  tasks,
+});
+
+test('an unseen start stays with its machine until a new session, and is sent again', () => {
+  const { machine, job, launch } = setup();
+  const ctx = { now: 1, jobOf: () => job };
+  applyReport(machine, report(1, 1, []), false, ctx);
+  const a = launch(0);
+  assert.deepEqual(applyReport(machine, report(1, 2, []), false, ctx), []);
+  assert.equal(commandsFor(machine, true)[0]?.op, 'start');
+  assert.deepEqual(commandsFor(machine, false), [], 'nothing starts while the lease is not sure');
+  const events = applyReport(machine, report(2, 3, []), false, ctx);
+  assert.deepEqual(
+    events.map((e) => e.kind),
+    ['released'],
+  );
+  assert.ok(a.released);
+});
+
+test('a stopped start that was never seen is let go only when no launch can be under way', () => {
+  const { machine, job, launch } = setup();
+  const ctx = { now: 1, jobOf: () => job };
+  applyReport(machine, report(1, 1, []), false, ctx);
+  const a = launch(0);
+  a.stopGraceS = 0;
+  a.doubt = true;
+  assert.deepEqual(applyReport(machine, report(1, 2, []), false, ctx), [], 'a direct launch without answer');
+  a.doubt = false;
+  a.underWay = 1;
+  assert.deepEqual(applyReport(machine, report(1, 3, []), false, ctx), [], 'an order on its way');
+  a.underWay = 0;
+  assert.deepEqual(
+    applyReport(machine, report(1, 4, []), true, ctx),
+    [],
+    'the answer to an order proves nothing',
+  );
+  assert.equal(applyReport(machine, report(1, 5, []), false, ctx).length, 1);
+});
+
+test('an ended attempt is forgotten only when durable and with no launch in doubt', () => {
+  const { machine, job, launch } = setup();
+  const ctx = { now: 1, jobOf: () => job };
+  const a = launch(3);
+  applyReport(machine, report(1, 1, [reported(3, { phase: 'ended', cause: 'done' })]), false, ctx);
+  job.markDone(3);
+  assert.equal(mayForget(a), false);
+  job.markChunkDurable(0, job.chunkBits(0));
+  assert.equal(mayForget(a), true);
+  a.doubt = true;
+  assert.equal(mayForget(a), false);
+});
+
+test('whatever the order in which reports arrive, only the newest counts', () => {
+  const step = fc.record({ session: fc.integer({ min: 1, max: 3 }), seq: fc.integer({ min: 1, max: 30 }) });
+  fc.assert(
+    fc.property(fc.array(step, { minLength: 1, maxLength: 20 }), (steps) => {
+      const { machine, job } = setup();
+      let newest = [0, 0];
+      for (const s of steps) {
+        const r = report(s.session, s.seq, []);
+        const newer = s.session > newest[0]! || (s.session === newest[0]! && s.seq > newest[1]!);
+        assert.equal(isNewer(machine, r), newer);
+        if (!newer) continue;
+        applyReport(machine, r, false, { now: 1, jobOf: () => job });
+        newest = [s.session, s.seq];
+      }
+      assert.deepEqual([machine.session, machine.seq], newest);
+    }),
+    { seed: SEED, numRuns: 200 },
+  );
+});
+
+test('a session that is surely over takes no more reports; the next one does, with a lease of its own', () => {
+  // The end of an old session's lease was once taken for the end of the new one's.
+  const { machine, job } = setup();
+  applyReport(machine, report(1, 1, []), false, { now: 1, jobOf: () => job });
+  machine.sessionOver = true;
+  assert.equal(isNewer(machine, report(1, 9, [])), false);
+  applyReport(machine, report(2, 10, []), false, { now: 5000, jobOf: () => job });
+  assert.equal(machine.sessionOver, false);
+  assert.equal(machine.answeredAt, 5000);
+});
