Sockets of the door shared out; dead connections closed; a stale queue of connections is dropped

Idle connections are closed, workers' connections are closed with the answer once sockets get short, and a queue that was not empty for 2 s is dropped: who waits asks anew. Ruled out: a shorter listen queue (no difference).

--- a/src/core/service.ts
+++ b/src/core/service.ts
@@ -1,11 +1,11 @@
 import { randomUUID } from 'node:crypto';
-import type { Server } from 'node:http';
 import type { Options } from '../config/options.ts';
 import type { Settings } from '../config/settings.ts';
 import { Catalog, catalogValue, readCatalogValue } from '../fleet/catalog.ts';
 import { CloudClient } from '../fleet/cloud.ts';
 import { AdaptiveLimit, USER_SLACK_MS, WORKER_SLACK_MS } from '../http/limit.ts';
-import { failure, listen, type HttpRequest, type Reply } from '../http/server.ts';
+import { socketShares } from '../http/connections.ts';
+import { Door, failure, type HttpRequest, type Reply } from '../http/server.ts';
 import { UserDoor, type LocalLeader } from '../jobs/door.ts';
 import { FinalCache } from '../jobs/finals.ts';
 import type { TeamLimits } from '../jobs/admission.ts';
@@ -39,6 +39,11 @@
 const OTHERS_PAUSE_MS = 1000;
 /** How long a node that has lost its workers doesn't stand for leader. */
 const YIELD_MS = 30_000;
+/** Reports that a worker leaves out before its connection is taken for dead. */
+const WORKER_IDLE = 4;
+const USER_IDLE_MS = 90_000;
+/** A connection without any request. */
+const UNKNOWN_IDLE_MS = 10_000;
 const JOB_PATH = /^\/work\/([^/]+)$/;
 const CANCEL_PATH = /^\/work\/([^/]+)\/cancel$/;
 
@@ -51,6 +56,7 @@
   private readonly cloud: CloudClient;
   private readonly workers: WorkerClient;
   private readonly mesh: Mesh;
+  private readonly server: Door;
   private readonly door: UserDoor;
   private readonly election: Election;
   private readonly finals: FinalCache;
@@ -67,7 +73,6 @@
   private readonly graceMs: number;
   private catalog: Catalog | null = null;
   private leader: Leader | null = null;
-  private server: Server | null = null;
   private ticker: NodeJS.Timeout | undefined;
   private reachTimer: NodeJS.Timeout | undefined;
 
@@ -93,8 +98,23 @@
       now,
       log,
     );
-    this.workers = new WorkerClient(
-      Math.max(8, Math.floor(settings.settings.limits.sockets * ORDER_SOCKETS)),
+    const { sockets } = settings.settings.limits;
+    const orderSockets = Math.max(8, Math.floor(sockets * ORDER_SOCKETS));
+    this.workers = new WorkerClient(orderSockets);
+    this.server = new Door(
+      (request, reply) => {
+        this.route(request, reply);
+      },
+      {
+        sockets: socketShares(sockets, orderSockets),
+        idleMs: {
+          unknown: UNKNOWN_IDLE_MS,
+          user: USER_IDLE_MS,
+          worker: workers.report_s * 1000 * WORKER_IDLE,
+        },
+        peerOf: (path) => (path === '/checkin' ? 'worker' : 'user'),
+        now,
+      },
     );
     this.cloud = new CloudClient(settings.endpoints.cloud, cloud.rps, now, log);
     this.finals = new FinalCache(options.users.final_cache);
@@ -200,9 +220,7 @@
 
   async start(): Promise<void> {
     await this.mesh.listen(this.settings.mesh_addr);
-    this.server = await listen(this.settings.serve_on, (request, reply) => {
-      this.route(request, reply);
-    });
+    await this.server.listen(this.settings.serve_on);
     this.log.info({ on: this.settings.serve_on }, 'serving');
     this.election.start();
     void this.readCatalog();
@@ -216,8 +234,7 @@
 
   /** Where users and workers reach this node; tests let the system choose the port. */
   address(): string {
-    const at = this.server?.address();
-    return typeof at === 'object' && at ? `${at.address}:${at.port}` : this.settings.serve_on;
+    return this.server.address;
   }
 
   /** Ends all work of this node, for use inside another program; a controller just runs until killed. */
@@ -227,8 +244,7 @@
     clearInterval(this.ticker);
     this.ticker = undefined;
     clearInterval(this.reachTimer);
-    this.server?.close();
-    this.server?.closeAllConnections();
+    this.server.close();
     this.mesh.close();
     this.store.close();
     this.cloud.close();
--- /dev/null
+++ b/src/http/backlog.ts
@@ -0,0 +1,36 @@
+/**
+ * Tells how long connections may have been waiting to be accepted. The event loop accepts one a turn; while every
+ * turn brings one, the queue has not been empty, and whoever is accepted now may have come when that began.
+ *
+ * A new leader once took up connections in the order of their coming for a quarter of a minute: when it came to one,
+ * its worker had given up waiting and stood at the end of the queue again, and so all leases ran out.
+ */
+export class Backlog {
+  private since: number | null = null;
+  private turns = 0;
+  private lastTurn = -1;
+
+  constructor(
+    private readonly now: () => number,
+    /** Whoever has waited this long is most likely gone. */
+    private readonly staleMs: number,
+  ) {}
+
+  /** A connection was accepted. True: the queue is stale and should be dropped, so that who waits asks anew. */
+  accepted(): boolean {
+    this.lastTurn = this.turns;
+    const now = this.now();
+    this.since ??= now;
+    if (now - this.since < this.staleMs) return false;
+    this.since = null;
+    return true;
+  }
+
+  /** A turn of the event loop is over. False: it brought no connection, so the queue was empty. */
+  turnOver(): boolean {
+    const brought = this.lastTurn === this.turns;
+    this.turns += 1;
+    if (!brought) this.since = null;
+    return brought;
+  }
+}
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -1,6 +1,14 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { createServer as createHttp, type IncomingMessage, type ServerResponse } from 'node:http';
+import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+import { Backlog } from './backlog.ts';
+import { Connections, type Peer, type SocketShares } from './connections.ts';
 
 const MAX_BODY = 64 * 1024;
+/** Users, workers and health checks wait for 1 to 5 s in all, so who has waited this long to be accepted is late. */
+const STALE_MS = 2000;
+const QUEUE = 511;
+const IDLE_CHECK_MS = 2000;
+const RELISTEN_MS = 50;
 
 export interface Answer {
   status: number;
@@ -33,47 +41,140 @@
   res.end(answer.body);
 }
 
-function receive(req: IncomingMessage, res: ServerResponse, handler: Handler): void {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  let refused = false;
-  req.on('data', (chunk: Buffer) => {
-    size += chunk.length;
-    if (size <= MAX_BODY) {
-      chunks.push(chunk);
-    } else if (!refused) {
-      refused = true;
-      res.shouldKeepAlive = false;
-      write(res, failure(400, 'body is over 64 KiB'));
-    }
-  });
-  req.on('end', () => {
-    if (refused) return;
-    const query = (req.url ?? '/').indexOf('?');
-    const url = req.url ?? '/';
-    const path = query < 0 ? url : url.slice(0, query);
-    let answered = false;
-    handler({ method: req.method ?? 'GET', path, body: Buffer.concat(chunks).toString('utf8') }, (answer) => {
-      if (answered) return;
-      answered = true;
-      write(res, answer);
-    });
-  });
-  req.on('error', () => {
-    res.destroy();
-  });
+export interface DoorOptions {
+  sockets: SocketShares;
+  /** How long a connection of each kind may be silent. */
+  idleMs: Record<Peer, number>;
+  /** Who sends requests to this path. */
+  peerOf(path: string): Peer;
+  now(): number;
 }
 
-/** The door for users, workers and health checks. Connections stay open until one side closes them. */
-export function listen(address: string, handler: Handler): Promise<Server> {
-  const colon = address.lastIndexOf(':');
-  const server = createServer({ keepAliveTimeout: 0, requestTimeout: 30_000, noDelay: true }, (req, res) => {
-    receive(req, res, handler);
+/**
+ * The door for users, workers and health checks. Connections stay open until one side closes them: the other, or
+ * this one where sockets get short or nothing was heard for long.
+ */
+export class Door {
+  private readonly http = createHttp({ keepAliveTimeout: 0 }, (req, res) => {
+    this.receive(req, res);
   });
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(Number(address.slice(colon + 1)), address.slice(0, colon), 511, () => {
-      resolve(server);
+  private readonly acceptor: Server;
+  private readonly connections: Connections<Socket>;
+  private readonly backlog: Backlog;
+  private watching = false;
+  private stopped = false;
+  private at: { host: string; port: number } = { host: '', port: 0 };
+  private idleTimer: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly handler: Handler,
+    private readonly options: DoorOptions,
+  ) {
+    this.connections = new Connections(options.now, options.sockets.crowded, options.idleMs);
+    this.backlog = new Backlog(options.now, STALE_MS);
+    this.acceptor = createServer({ noDelay: true, allowHalfOpen: true }, (socket) => {
+      this.accept(socket);
     });
-  });
+    this.acceptor.maxConnections = options.sockets.inbound;
+  }
+
+  listen(address: string): Promise<void> {
+    const colon = address.lastIndexOf(':');
+    const host = address.slice(0, colon);
+    return new Promise((resolve, reject) => {
+      this.acceptor.once('error', reject);
+      this.acceptor.listen(Number(address.slice(colon + 1)), host, QUEUE, () => {
+        this.at = { host, port: (this.acceptor.address() as AddressInfo).port };
+        this.acceptor.off('error', reject);
+        // Only dropQueue listens again; what is in its way is gone a moment later.
+        this.acceptor.on('error', () => setTimeout(() => this.relisten(), RELISTEN_MS));
+        resolve();
+      });
+      this.idleTimer = setInterval(() => {
+        for (const socket of this.connections.idle()) socket.destroy();
+      }, IDLE_CHECK_MS);
+    });
+  }
+
+  get address(): string {
+    return `${this.at.host}:${this.at.port}`;
+  }
+
+  /** Open connections. */
+  get open(): number {
+    return this.connections.open;
+  }
+
+  close(): void {
+    this.stopped = true;
+    clearInterval(this.idleTimer);
+    this.acceptor.close();
+    for (const socket of this.connections.all()) socket.destroy();
+  }
+
+  private accept(socket: Socket): void {
+    this.connections.opened(socket);
+    socket.once('close', () => {
+      this.connections.closed(socket);
+    });
+    this.http.emit('connection', socket);
+    if (this.backlog.accepted()) this.dropQueue();
+    this.watchTurns();
+  }
+
+  /** Looks at the turns of the event loop for as long as each brings a connection. */
+  private watchTurns(): void {
+    if (this.watching) return;
+    this.watching = true;
+    const turn = (): void => {
+      if (this.backlog.turnOver()) setImmediate(turn);
+      else this.watching = false;
+    };
+    setImmediate(turn);
+  }
+
+  /** Closes what waits to be accepted, so that nobody waits in vain; open connections stay. */
+  private dropQueue(): void {
+    this.acceptor.close();
+    this.relisten();
+  }
+
+  private relisten(): void {
+    if (!this.stopped && !this.acceptor.listening) this.acceptor.listen(this.at.port, this.at.host, QUEUE);
+  }
+
+  private receive(req: IncomingMessage, res: ServerResponse): void {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    let refused = false;
+    req.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      if (size <= MAX_BODY) {
+        chunks.push(chunk);
+      } else if (!refused) {
+        refused = true;
+        res.shouldKeepAlive = false;
+        write(res, failure(400, 'body is over 64 KiB'));
+      }
+    });
+    req.on('end', () => {
+      if (refused) return;
+      const url = req.url ?? '/';
+      const query = url.indexOf('?');
+      const path = query < 0 ? url : url.slice(0, query);
+      const { socket } = req;
+      this.connections.asked(socket, this.options.peerOf(path));
+      let answered = false;
+      const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
+      this.handler({ method: req.method ?? 'GET', path, body: body.toString('utf8') }, (answer) => {
+        if (answered) return;
+        answered = true;
+        if (!this.connections.answered(socket)) res.shouldKeepAlive = false;
+        write(res, answer);
+      });
+    });
+    req.on('error', () => {
+      res.destroy();
+    });
+  }
 }
