Rounds: a group's costs are found once a round; a new leader begins with few groups

Each group's part of the network is now made once for all passes, jobs of one class share the search for usable targets, and the number of groups follows the time that rounds take. A queue of connections counts as stale after 3 s.

--- a/src/core/rounds.ts
+++ b/src/core/rounds.ts
@@ -24,11 +24,18 @@
 const MOST_SHARE = 0.3;
 const BUSY_SHARE = 0.1;
 const MOST_GAP_MS = 4000;
+/**
+ * A round this long keeps reports and new connections waiting: the first ones of a new leader, whose code is cold,
+ * once took two seconds each, while workers gave up one after the other. It begins with few groups.
+ */
+const LONG_MS = 800;
+const FIRST_GROUPS = 16;
 
 /** Runs the flow rounds and carries out what they find. */
 export class Rounds {
   private lastStart = -Infinity;
   private tookMs = 0;
+  private mostGroups = FIRST_GROUPS;
   private placingSince = Infinity;
 
   constructor(
@@ -67,6 +74,7 @@
     if (place) this.placingSince = Math.min(this.placingSince, start);
     if (place) this.carryOut(groups, machines, teamRoom, result);
     this.tookMs = this.now() - start;
+    this.learn(groups.length, result.leftOut);
     this.deps.host.log.debug(
       {
         groups: groups.length,
@@ -80,6 +88,15 @@
     );
   }
 
+  /** Fits the number of groups to the time that rounds take. */
+  private learn(groups: number, leftOut: number): void {
+    if (this.tookMs > LONG_MS) this.mostGroups = Math.max(FIRST_GROUPS, Math.floor(groups * 0.6));
+    else
+      this.mostGroups = Math.min(this.deps.options.scheduling.max_groups, Math.ceil(this.mostGroups * 1.5));
+    // Who was left out waits for the next round, whether anything changes or not.
+    if (leftOut > 0) this.cluster.dirty = true;
+  }
+
   private solve(
     groups: GroupView[],
     machines: MachineView[],
@@ -100,7 +117,7 @@
       },
       {
         reserveAfterMs: scheduling.reserve_after_s * 1000,
-        maxGroups: scheduling.max_groups,
+        maxGroups: Math.min(scheduling.max_groups, this.mostGroups),
         fetchSteps: scheduling.fetch_steps,
         priceSteps: scheduling.price_steps,
         rentSteps: scheduling.rent_steps,
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -4,8 +4,8 @@
 import { Connections, type Peer, type SocketShares } from './connections.ts';
 
 const MAX_BODY = 64 * 1024;
-/** Users, workers and health checks wait for 1 to 5 s in all, so who has waited this long to be accepted is late. */
-const STALE_MS = 2000;
+/** Workers wait for 4 s and users for 2 or 5 s: who has waited this long to be accepted will soon have given up. */
+const STALE_MS = 3000;
 const QUEUE = 511;
 const IDLE_CHECK_MS = 2000;
 const RELISTEN_MS = 50;
--- a/src/scheduling/round.ts
+++ b/src/scheduling/round.ts
@@ -1,11 +1,10 @@
 import { FlowNetwork } from './solver.ts';
 import { extract, type Edge } from './extract.ts';
-import { allowed, fetchOn, fitting, makeTargets, Needs, type Target } from './targets.ts';
+import { Planner, STEP, wantedOf, type CostOptions, type GroupPlan } from './plan.ts';
+import { allowed, makeTargets, Needs, type Target } from './targets.ts';
 import { BAND, urgency } from './urgency.ts';
-import { pickZone } from './zones.ts';
 import {
   fits,
-  teamFits,
   type GroupView,
   type MachineView,
   type OptionView,
@@ -14,31 +13,13 @@
   type TeamRoom,
 } from './view.ts';
 
-export interface RoundOptions {
-  /** A job that waited longer keeps its nearest fitting machines free. */
-  reserveAfterMs: number;
+export interface RoundOptions extends CostOptions {
   /** Groups in one round; the others wait for the next. */
   maxGroups: number;
   /** The part of a further machine that is not rented for. */
   rentRound: number;
-  /** Seconds that room of a machine already paid for may come later than that of one rented for it. */
-  rentBiasS: number;
-  /** Cost steps per image that a quick class has on a machine, for tasks of other classes. */
-  warmSteps: number;
-  /** Cost steps per second of image fetch. */
-  fetchSteps: number;
-  /** Cost per unit of hourly price and task of a machine to be rented. */
-  rentSteps: number;
-  /** Cost steps per unit of hourly price that a machine costs over the cheapest that fits. */
-  priceSteps: number;
 }
 
-/** A further task on a machine costs one step more. Steps are scaled so that preferences can be finer. */
-const STEP = 10;
-/** More than any load or preference adds on a present machine. */
-const PARK_STEPS = 2000;
-/** More images than this don't make a machine any warmer. */
-const MOST_WARM = 3;
 /** Machines kept free for one job that waits long; of a gang as many as it has tasks, within reason. */
 const MOST_KEPT = 4;
 /** Who waited longest is served first: more jobs at a time would keep all machines free of everybody. */
@@ -47,27 +28,6 @@
 /** Dearer than any machine, whatever the group's urgency adds. */
 const UNSCHEDULED = 30 * BAND;
 
-const clamp = (cost: number): number => Math.min(BAND - 1, Math.max(0, Math.round(cost)));
-
-/** A task's cost on a machine besides its load: the image, the price of a type it doesn't need, known faults. */
-function machineCost(
-  group: GroupView,
-  m: MachineView,
-  each: number,
-  cheapest: number,
-  options: RoundOptions,
-): number {
-  // One fetch serves all of the group's tasks that go there.
-  const fetch = m.fetchS(group.image, group.imageGb) / Math.max(1, Math.min(each, group.pending));
-  const dearer = Math.max(0, m.price - cheapest);
-  const parked = m.parked && !group.quick ? PARK_STEPS : 0;
-  // Machines with the images of classes that must start soon are left to those, as far as others will do.
-  const lacking = Math.max(0, MOST_WARM - m.warm);
-  const affinity =
-    (group.expected ? lacking : group.quick ? 0 : Math.min(MOST_WARM, m.warm)) * options.warmSteps;
-  return (fetch * options.fetchSteps + dearer * options.priceSteps + m.penalty + affinity + parked) * STEP;
-}
-
 /**
  * Machines kept free for jobs that wait long, who waited longest first: the nearest to fitting, and of a gang
  * all that it needs, in the one zone it is bound to. A gang of sixteen once had four kept for it, and small
@@ -120,13 +80,6 @@
   return reserved;
 }
 
-/** Tasks of the group that its team's limit takes; a gang goes whole or not at all. */
-function wantedOf(group: GroupView, teamRoom: readonly TeamRoom[]): number {
-  const limit = teamFits(group.need, teamRoom[group.team]!);
-  if (group.gang) return limit >= group.pending ? group.pending : 0;
-  return Math.min(group.pending, limit);
-}
-
 const network = new FlowNetwork();
 
 /**
@@ -167,10 +120,12 @@
   const needs = new Needs();
   for (const group of groups) needs.index(group.need);
   const targets = makeTargets(groups, needs, machines, rentable, result.reserved);
+  const planner = new Planner(needs, targets, options);
+  const plans = groups.map((g) => planner.plan(g, teamRoom)).filter((p) => p !== null);
   // A gang of which only a part found room must not hold the rest back: it is left out and the round repeated.
   const skipped = new Set<number>();
   for (let pass = 0; pass < 3; pass++) {
-    const left = groups.filter((g) => !skipped.has(g.job));
+    const left = plans.filter((p) => !skipped.has(p.group.job));
     const found = {
       ...result,
       placements: [],
@@ -178,7 +133,7 @@
       awaiting: new Map(),
       held: new Set<number>(),
     };
-    const dropped = solveOnce(left, needs, targets, teamRoom, options, found, expired);
+    const dropped = solveOnce(left, targets, teamRoom, options, found, expired);
     // Out of time, what an earlier pass has found stands: this one found less.
     if (pass > 0 && expired()) break;
     Object.assign(result, found);
@@ -189,8 +144,7 @@
 }
 
 function solveOnce(
-  groups: readonly GroupView[],
-  needs: Needs,
+  plans: readonly GroupPlan[],
   targets: readonly Target[],
   teamRoom: readonly TeamRoom[],
   options: RoundOptions,
@@ -209,58 +163,24 @@
   const edges: Edge[] = [];
   let supply = 0;
   const sources: { node: number; wanted: number }[] = [];
-  groups.forEach((group, index) => {
-    const wanted = wantedOf(group, teamRoom);
-    if (wanted === 0) return;
+  plans.forEach(({ group, wanted, press, zone, bids }, index) => {
     const node = net.addNode();
-    const press = urgency(group, options.reserveAfterMs);
     sources.push({ node, wanted });
     net.addArc(node, unscheduled, wanted, UNSCHEDULED + 2 * press);
     supply += wanted;
-    const need = needs.index(group.need);
-    const onlyZone = group.oneZone ? pickZone(group, need, wanted, needs, targets) : -1;
-    if (group.oneZone && onlyZone < 0) return;
-    if (group.oneZone) result.zones.set(group.job, onlyZone);
+    if (zone >= 0) result.zones.set(group.job, zone);
     const zoneNodes = new Map<number, number>();
-    const entry = (zone: number): number => {
+    const entry = (at: number): number => {
       if (group.zoneCap === Infinity) return node;
-      let found = zoneNodes.get(zone);
+      let found = zoneNodes.get(at);
       if (found === undefined) {
         found = net.addNode();
-        zoneNodes.set(zone, found);
-        net.addArc(node, found, Math.max(0, group.zoneCap - (group.liveByZone.get(zone) ?? 0)), 0);
+        zoneNodes.set(at, found);
+        net.addArc(node, found, Math.max(0, group.zoneCap - (group.liveByZone.get(at) ?? 0)), 0);
       }
       return found;
     };
-    const usable: Target[] = [];
-    let cheapest = Infinity;
-    for (const target of targets) {
-      if (!allowed(group, target.type, target.zone, target.spot)) continue;
-      if (onlyZone >= 0 && onlyZone !== target.zone) continue;
-      if (fitting(target, needs, need) === 0) continue;
-      usable.push(target);
-      if (target.kind !== 'later') cheapest = Math.min(cheapest, target.price);
-    }
-    for (const target of usable) {
-      if (target.holder >= 0 && target.holder !== group.job) continue;
-      if (group.only >= 0 && target.views[0]?.machine !== group.only) continue;
-      const each = fitting(target, needs, need);
-      let count = Math.min(wanted, each);
-      let cost: number;
-      if (target.kind === 'now') {
-        const first = target.views[0]!;
-        if (group.avoid.has(first.machine)) continue;
-        count = Math.min(wanted, each * target.views.length);
-        cost = clamp(machineCost(group, first, each, cheapest, options));
-      } else if (target.option) {
-        const { price, bootS } = target.option;
-        const waitS =
-          bootS + fetchOn(target, group.image, group.imageGb) + group.patienceS + options.rentBiasS;
-        const perTask = price / fits(group.need, target.option.size);
-        cost = BAND + press + clamp(perTask * options.rentSteps + waitS * STEP);
-      } else {
-        cost = BAND + press + clamp((fetchOn(target, group.image, group.imageGb) + target.inS) * STEP);
-      }
+    for (const { target, each, count, cost } of bids) {
       edges.push({ group: index, target, arc: net.addArc(entry(target.zone), target.node, count, cost) });
       // Room for all groups together, not for the largest one: a machine once took no more than that in a round.
       target.slots = Math.max(target.slots, each);
@@ -281,5 +201,6 @@
   net.addArc(unscheduled, sink, supply, 0);
   // The most urgent first: a round that runs out of time has found places for those.
   for (const s of sources) net.solve(s.node, sink, s.wanted, expired);
+  const groups = plans.map((p) => p.group);
   return extract(groups, edges, net, teamRoom, options, result);
 }
