--- a/src/core/service.ts
+++ b/src/core/service.ts
@@ -5,7 +5,7 @@
 import { CloudClient } from '../fleet/cloud.ts';
 import { AdaptiveLimit, USER_SLACK_MS, WORKER_SLACK_MS } from '../http/limit.ts';
 import { socketShares } from '../http/connections.ts';
-import { Door, failure, type HttpRequest, type Reply } from '../http/server.ts';
+import { Door, failure, type Answer, type Reply } from '../http/server.ts';
 import { UserDoor, type LocalLeader } from '../jobs/door.ts';
 import { FinalCache } from '../jobs/finals.ts';
 import type { TeamLimits } from '../jobs/admission.ts';
@@ -25,6 +25,7 @@
 import { Lag } from './lag.ts';
 import type { Logger } from './log.ts';
 import { Owner } from './owner.ts';
+import { peerOf, Routes } from './routes.ts';
 import { WarmUp } from './warmup.ts';
 
 const TICK_MS = 200;
@@ -44,8 +45,6 @@
 const USER_IDLE_MS = 90_000;
 /** A connection without any request. */
 const UNKNOWN_IDLE_MS = 10_000;
-const JOB_PATH = /^\/work\/([^/]+)$/;
-const CANCEL_PATH = /^\/work\/([^/]+)\/cancel$/;
 
 /** One controller: wires the slices together and owns the leadership while it has it. */
 export class Service {
@@ -68,8 +67,7 @@
   private reportedAt = -Infinity;
   private readonly teams: TeamLimits[];
   private readonly zones: Intern;
-  private readonly userLimit: AdaptiveLimit;
-  private readonly workerLimit: AdaptiveLimit;
+  private readonly routes: Routes;
   private readonly graceMs: number;
   private catalog: Catalog | null = null;
   private leader: Leader | null = null;
@@ -103,7 +101,7 @@
     this.workers = new WorkerClient(orderSockets);
     this.server = new Door(
       (request, reply) => {
-        this.route(request, reply);
+        this.routes.route(request, reply);
       },
       {
         sockets: socketShares(sockets, orderSockets),
@@ -112,7 +110,7 @@
           user: USER_IDLE_MS,
           worker: workers.report_s * 1000 * WORKER_IDLE,
         },
-        peerOf: (path) => (path === '/checkin' ? 'worker' : 'user'),
+        peerOf,
         now,
       },
     );
@@ -214,8 +212,19 @@
     const { users_min, users_max, workers_min, workers_max } = options.http;
     // Each worker has one report in progress, over a socket of its own.
     const most = Math.max(workers_min, Math.min(workers_max, settings.settings.limits.sockets));
-    this.userLimit = limit(64, users_min, users_max, USER_SLACK_MS);
-    this.workerLimit = limit(most, workers_min, most, WORKER_SLACK_MS);
+    this.routes = new Routes({
+      options,
+      door: this.door,
+      userLimit: limit(64, users_min, users_max, USER_SLACK_MS),
+      workerLimit: limit(most, workers_min, most, WORKER_SLACK_MS),
+      post: (command) => {
+        this.owner.post(command);
+      },
+      onReport: (body, reply) => {
+        this.onReport(body, reply);
+      },
+      health: () => this.health(),
+    });
   }
 
   async start(): Promise<void> {
@@ -444,52 +453,10 @@
 
   // ---- the doors ----
 
-  private route(request: HttpRequest, reply: Reply): void {
-    const { method, path } = request;
-    if (path === '/checkin') {
-      if (method === 'POST') this.limited(this.workerLimit, reply, (r) => this.onReport(request.body, r));
-      else reply(failure(405, 'use POST'));
-      return;
-    }
-    if (path === '/healthz') {
-      // Ready once jobs can be decided. Troubles that all nodes share don't make a node unhealthy.
-      if (method !== 'GET') reply(failure(405, 'use GET'));
-      else if (!this.catalog) reply(failure(503, 'starting', 1));
-      else reply(this.reach.cutOff() ? failure(503, 'cut off', 1) : { status: 200, body: '{}' });
-      return;
-    }
-    if (path === '/work') {
-      if (method !== 'POST') reply(failure(405, 'use POST'));
-      else this.limited(this.userLimit, reply, (r) => this.door.submit(request.body, r));
-      return;
-    }
-    const job = JOB_PATH.exec(path);
-    if (job) {
-      if (method !== 'GET') reply(failure(405, 'use GET'));
-      else this.limited(this.userLimit, reply, (r) => this.door.poll(job[1]!, r));
-      return;
-    }
-    const cancel = CANCEL_PATH.exec(path);
-    if (cancel) {
-      if (method !== 'POST') reply(failure(405, 'use POST'));
-      else this.limited(this.userLimit, reply, (r) => this.door.cancel(cancel[1]!, r));
-      return;
-    }
-    reply(failure(404, 'no such path'));
-  }
-
-  private limited(limit: AdaptiveLimit, reply: Reply, run: (reply: Reply) => void): void {
-    const leave = limit.enter();
-    if (!leave) {
-      reply(failure(503, 'too many requests in progress', this.options.users.retry_after_s));
-      return;
-    }
-    this.owner.post(() => {
-      run((answer) => {
-        leave();
-        reply(answer);
-      });
-    });
+  /** Ready once jobs can be decided. Troubles that all nodes share don't make a node unhealthy. */
+  private health(): Answer {
+    if (!this.catalog) return failure(503, 'starting', 1);
+    return this.reach.cutOff() ? failure(503, 'cut off', 1) : { status: 200, body: '{}' };
   }
 
   private onReport(body: string, reply: Reply): void {
