--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -4,6 +4,13 @@
 const amount = z.number().check(z.minimum(0));
 const hostPort = z.string().check(z.regex(/^[^:\s]+:\d{1,5}$/));
 const positiveInt = z.int().check(z.minimum(1));
+/** Below these no service is possible: calls to the state service, the cloud and the others need this many sockets. */
+const socketCount = z.int().check(z.minimum(32));
+/** A job's end, its final state and the writer's fence go together. */
+const changesAtOnce = z.int().check(z.minimum(3));
+/** A job's record must fit a value. */
+const valueSize = z.number().check(z.minimum(1));
+const rate = z.number().check(z.minimum(1));
 
 /** The platform's settings file, as DEPLOY shows it. Unknown fields are ignored. */
 const schema = z.object({
@@ -44,9 +51,9 @@
       gang_peer_s: amount,
       cancel_s: amount,
     }),
-    state: z.object({ rps: amount, write_rps: amount, value_kb: amount, txn_ops: positiveInt }),
+    state: z.object({ rps: rate, write_rps: rate, value_kb: valueSize, txn_ops: changesAtOnce }),
     cloud: z.object({ rps: amount, list_lag_s: amount }),
-    limits: z.object({ cores: amount, memory_mb: amount, sockets: positiveInt }),
+    limits: z.object({ cores: amount, memory_mb: amount, sockets: socketCount }),
     clock_off_ms: amount,
   }),
 });
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -317,6 +317,7 @@
         if (!machines) return;
         this.listed = true;
         const at = this.deps.clock.now();
+        const unexpected: string[] = [];
         for (const m of machines) {
           // The list lags, so what was returned lately may still stand in it.
           if (this.returned.has(m.name) || this.returning.has(m.name)) continue;
@@ -325,11 +326,14 @@
           } else if (!known.has(m.name) && !this.bootingByName.has(m.name)) {
             const type = this.deps.catalog.typeIndex(m.machineType);
             const place = { type, zone: this.deps.zones.index(m.zone), spot: m.spot };
-            this.deps.log.info({ machine: m.name, state: m.state }, 'unexpected machine in the list');
+            unexpected.push(m.name);
             if (type < 0) this.giveBack([m.name]);
             else this.addBooting(m.name, place, at - m.ageS * 1000, at + LISTED_GRACE_MS);
           }
         }
+        // In one line: a new leader finds hundreds.
+        if (unexpected.length > 0)
+          this.deps.log.info({ machines: unexpected }, 'unexpected machines in the list');
         for (const [name, when] of this.returned)
           if (at - when > RETURNED_KEPT_MS) this.returned.delete(name);
       });
--- a/test/config/config.test.ts
+++ b/test/config/config.test.ts
@@ -17,6 +17,25 @@
   assert.throws(() => parseSettings('{'), ConfigError);
 });
 
+test('a limit too small for any service is refused with its name, a small one is not', () => {
+  const limits: [string, string, number, number][] = [
+    ['limits', 'sockets', 31, 32],
+    ['state', 'txn_ops', 2, 3],
+    ['state', 'value_kb', 0.5, 1],
+    ['state', 'rps', 0, 1],
+    ['state', 'write_rps', 0.5, 1],
+  ];
+  for (const [section, field, tooSmall, enough] of limits) {
+    const settings = structuredClone(SETTINGS) as unknown as {
+      settings: Record<string, Record<string, number>>;
+    };
+    settings.settings[section]![field] = tooSmall;
+    assert.throws(() => parseSettings(JSON.stringify(settings)), new RegExp(`settings.${section}.${field}`));
+    settings.settings[section]![field] = enough;
+    parseSettings(JSON.stringify(settings));
+  }
+});
+
 test('options fall back on their defaults; unknown keys and values out of bounds are errors', () => {
   const read = parseOptions(parse('fleet:\n  idle_s: 7\n'));
   assert.equal(read.fleet.idle_s, 7);
