Who is left out of a full round gets a turn

Cause, from reading the round after its number of groups was made to follow the time that rounds take: on a slow leader sixteen urgent groups that find no room would have kept a whole class out of every round. A quarter of a full round's places is now taken in turn by the others. Test: scheduling/round.test.ts.

--- a/src/core/rounds.ts
+++ b/src/core/rounds.ts
@@ -35,6 +35,7 @@
 export class Rounds {
   private lastStart = -Infinity;
   private tookMs = 0;
+  private count = 0;
   private mostGroups = FIRST_GROUPS;
   private placingSince = Infinity;
 
@@ -59,6 +60,7 @@
     const due = this.cluster.dirty ? Math.max(scheduling.round_gap_ms, restMs) : 1000 + restMs;
     if (start - this.lastStart < due) return;
     this.lastStart = start;
+    this.count += 1;
     this.cluster.dirty = false;
     const groups = this.views.groups();
     const machines = this.views.machineViews();
@@ -117,6 +119,7 @@
       },
       {
         reserveAfterMs: scheduling.reserve_after_s * 1000,
+        turn: this.count,
         maxGroups: Math.min(scheduling.max_groups, this.mostGroups),
         fetchSteps: scheduling.fetch_steps,
         priceSteps: scheduling.price_steps,
--- a/src/core/warmup.ts
+++ b/src/core/warmup.ts
@@ -13,6 +13,7 @@
 const OPTIONS: RoundOptions = {
   reserveAfterMs: 1000,
   maxGroups: GROUPS,
+  turn: 0,
   rentRound: 0,
   rentBiasS: 1,
   warmSteps: 1,
--- a/src/scheduling/round.ts
+++ b/src/scheduling/round.ts
@@ -16,6 +16,8 @@
 export interface RoundOptions extends CostOptions {
   /** Groups in one round; the others wait for the next. */
   maxGroups: number;
+  /** Counts rounds: who is left out gets a turn. */
+  turn: number;
   /** The part of a further machine that is not rented for. */
   rentRound: number;
 }
@@ -80,6 +82,22 @@
   return reserved;
 }
 
+/** Part of a full round's places that goes to the most urgent; the rest is taken in turn. */
+const MOST_URGENT = 0.75;
+
+/**
+ * The first in order, and of the others some in turn: with the most urgent alone, those that find no room would
+ * keep everybody else out of every round for as long as they wait.
+ */
+function inTurn<T>(ordered: readonly T[], most: number, turn: number): readonly T[] {
+  if (ordered.length <= most) return ordered;
+  const first = Math.ceil(most * MOST_URGENT);
+  const others = ordered.length - first;
+  const places = most - first;
+  const from = (turn * places) % others;
+  return ordered.filter((_, at) => at < first || (at - first - from + others) % others < places);
+}
+
 const network = new FlowNetwork();
 
 /**
@@ -113,7 +131,7 @@
   });
   const keyed = able.map((group) => ({ group, key: urgency(group, options.reserveAfterMs) }));
   keyed.sort((a, b) => b.key - a.key);
-  const groups = keyed.slice(0, options.maxGroups).map((k) => k.group);
+  const groups = inTurn(keyed, options.maxGroups, options.turn).map((k) => k.group);
   result.leftOut = keyed.length - groups.length;
   result.reserved = reserve(groups, machines, sizeOf, options);
   for (const group of groups) if (group.only >= 0) result.reserved.set(group.only, group.job);
--- a/test/scheduling/round.test.ts
+++ b/test/scheduling/round.test.ts
@@ -9,6 +9,7 @@
 const OPTIONS: RoundOptions = {
   reserveAfterMs: 60_000,
   maxGroups: 64,
+  turn: 0,
   fetchSteps: 1,
   priceSteps: 3,
   rentSteps: 30,
@@ -395,3 +396,23 @@
   const result = runRound([gang], views, [], FREE_TEAM, sizeOf, OPTIONS);
   assert.deepEqual(result.placements.map((p) => p.machine).sort(), [4, 5]);
 });
+
+test('urgent groups that find no room keep nobody else out of all rounds', () => {
+  const stuck = Array.from({ length: 30 }, (_, job) =>
+    group({ job, priority: 3, need: { cpus: 40, gpus: 0, memory: 1 } }),
+  );
+  const low = Array.from({ length: 9 }, (_, i) => group({ job: 100 + i, priority: 0 }));
+  const served = new Set<number>();
+  let turns = 0;
+  while (served.size < low.length && turns < 20) {
+    const waiting = [...stuck, ...low.filter((g) => !served.has(g.job))];
+    const result = runRound(waiting, [machine()], [], FREE_TEAM, sizeOf, {
+      ...OPTIONS,
+      maxGroups: 16,
+      turn: turns++,
+    });
+    assert.ok(result.leftOut > 0);
+    for (const p of result.placements) served.add(p.job);
+  }
+  assert.equal(served.size, low.length, `${turns} rounds`);
+});
