A round takes up to 400 groups; gangs in a backlog no longer keep arrays out

With 100 groups a round, all of them gangs by rank, no array was in any round for two minutes while up to 1,400 GPUs stood idle. Ruled out: machines not accounted for, team limits, notes of what is begun.

--- a/src/config/options.ts
+++ b/src/config/options.ts
@@ -34,7 +34,7 @@
     takeover_wait_s: tunable(10, 0, 300, 's', 'wait of a new leader before it places'),
     round_gap_ms: tunable(250, 0, 10_000, 'ms', 'least time between two rounds'),
     round_limit_ms: tunable(250, 10, 10_000, 'ms', 'time after which a round takes what it has found'),
-    max_groups: tunable(100, 1, 10_000, 'groups', 'groups in one round; others wait for the next'),
+    max_groups: tunable(400, 1, 10_000, 'groups', 'groups in one round; others wait for the next'),
     reserve_after_s: tunable(60, 1, 3600, 's', 'a job that waited longer keeps its nearest machines free'),
     begin_after_s: tunable(
       150,
