A job whose end may be written is told from the store, by every path

Cause: once a leader had sent the final record of a job, it told the job as pending from its memory until the write was confirmed. When the answer of the carried-out transaction was lost that took seconds, in which other controllers read the record and told users done or cancelled (a repeated cancellation does so after 2.5 s, a controller that knows of no leader at once).

Change: a leader's view of a job is typed: status, uncertain or unknown. It is uncertain while the end is not confirmed and an attempt to write it may have been carried out (EndWrites notes the outcome of each transaction; an end that the store only ever refused is not in doubt, so its job is answered through an outage). An uncertain job is told from a read begun after the request came in, here or by another controller, or refused.

door.test.ts had the others answer a cancellation with "running", which the protocol doesn't allow; they now answer "cancelled", the body is checked, and a further test sees an open state refused.

--- a/src/core/context.ts
+++ b/src/core/context.ts
@@ -25,6 +25,8 @@
   inspect(machine: Machine): Promise<Report | null>;
   final(id: string, status: JobStatus): void;
   isFinal(id: string): boolean;
+  /** The final record of a job may be in the store, though its write isn't confirmed yet. */
+  endMayBeWritten(id: string): boolean;
   /** Something changed: schedule a batch. */
   post(command: () => void): void;
   pause(ms: number): Promise<void>;
--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -10,6 +10,7 @@
 import { Watch } from './watch.ts';
 import { Fleet } from '../fleet/fleet.ts';
 import { Job } from '../jobs/job.ts';
+import type { LeaderView } from '../jobs/knowledge.ts';
 import { readBegun, readChunk, readOpen } from '../jobs/records.ts';
 import { ArrivalForecast } from '../scheduling/forecast.ts';
 import { KEYS } from '../store/keys.ts';
@@ -109,6 +110,14 @@
   stop(): void {
     this.stopped = true;
     this.deps.writer.stop();
+    this.releaseWaiting();
+  }
+
+  /** Whoever waits for the end of a job is told that this leadership won't see it, so that nobody waits in vain. */
+  private releaseWaiting(): void {
+    for (const job of this.cluster.jobs.values()) {
+      for (const settled of job.whenFinal.splice(0)) settled();
+    }
   }
 
   private now(): number {
@@ -220,18 +229,28 @@
     if (this.loaded && !this.cluster.over.has(id) && !this.deps.host.isFinal(id)) this.addJob(id, value);
   }
 
-  /** The state of a job as of now, or null if this leader doesn't know it. */
-  status(id: string): JobStatus | null {
-    if (!this.loaded || !this.deps.host.surelyLeading()) return null;
-    return this.cluster.jobs.get(id)?.status() ?? null;
+  /** What this leader can say of a job as of now. */
+  view(id: string): LeaderView {
+    if (!this.loaded || !this.deps.host.surelyLeading()) return { kind: 'unknown' };
+    const job = this.cluster.jobs.get(id);
+    if (!job) return { kind: 'unknown' };
+    if (job.endUnconfirmed && this.deps.host.endMayBeWritten(id)) return { kind: 'uncertain' };
+    return { kind: 'status', status: job.status() };
   }
 
-  /** Cancels a job. The callback comes once the outcome is durable; false: the job is not known here. */
-  cancel(id: string, settled: (status: JobStatus) => void): boolean {
+  /**
+   * Cancels a job. The callback comes once the outcome is durable, or with null when this leadership ends before
+   * that; false: the job is not known here.
+   */
+  cancel(id: string, settled: (status: JobStatus | null) => void): boolean {
     const job = this.cluster.jobs.get(id);
     if (!this.loaded || !job || !this.deps.host.surelyLeading()) return false;
-    job.whenFinal.push(() => {
+    if (job.final !== null) {
       settled(job.status());
+      return true;
+    }
+    job.whenFinal.push(() => {
+      settled(job.final === null ? null : job.status());
     });
     if (job.ending === null) this.endings.finish(job, 'cancelled');
     return true;
--- a/src/core/service.ts
+++ b/src/core/service.ts
@@ -7,6 +7,7 @@
 import { socketShares } from '../http/connections.ts';
 import { Door, failure, type Answer, type Reply } from '../http/server.ts';
 import { UserDoor, type LocalLeader } from '../jobs/door.ts';
+import { EndWrites } from '../jobs/end-writes.ts';
 import { FinalCache } from '../jobs/finals.ts';
 import type { TeamLimits } from '../jobs/admission.ts';
 import { Election, leaseMs, type Leadership } from '../leadership/election.ts';
@@ -285,7 +286,8 @@
     const leader = this.leader;
     if (!leader) return null;
     return {
-      status: (id) => leader.status(id),
+      term: leader.term,
+      view: (id) => leader.view(id),
       cancel: (id, settled) => leader.cancel(id, settled),
       created: (id, value) => {
         leader.created(id, value);
@@ -341,9 +343,10 @@
     }
     if (!this.isCurrent(held) || fence.kind !== 'ok') return;
     const { state } = this.settings.settings;
+    const endWrites = new EndWrites();
     const writer = new LeaderWriter(
       {
-        txn: (conditions, changes) => this.store.txn(conditions, changes, 'lease'),
+        txn: endWrites.noting((conditions, changes) => this.store.txn(conditions, changes, 'lease')),
         readFence: async () => {
           const read = await this.store.get(KEYS.fence, 'lease');
           return read.kind === 'ok' ? (read.value?.version ?? 0) : null;
@@ -368,7 +371,9 @@
         inspect: (machine) => this.workers.inspect(machine),
         final: (id, status) => {
           this.finals.put(id, status);
+          endWrites.forget(id);
         },
+        endMayBeWritten: (id) => endWrites.mayBeWritten(id),
         isFinal: (id) => this.finals.get(id) !== undefined,
         post: (command) => {
           this.owner.post(command);
--- a/src/jobs/door.ts
+++ b/src/jobs/door.ts
@@ -15,13 +15,15 @@
 } from '../wire/user.ts';
 import { impossible, type TeamLimits } from './admission.ts';
 import type { FinalCache } from './finals.ts';
+import { isFinal, unlessOvertaken, type Finding, type LeaderView } from './knowledge.ts';
 import { finalValue, openValue, readFinal, readOpen } from './records.ts';
 
 /** What the door needs of the leadership on this node, if there is one. */
 export interface LocalLeader {
-  status(id: string): JobStatus | null;
-  /** False: the job is not known here. */
-  cancel(id: string, settled: (status: JobStatus) => void): boolean;
+  readonly term: number;
+  view(id: string): LeaderView;
+  /** `settled` with null: this leadership ended before the outcome was durable. False: the job is not known here. */
+  cancel(id: string, settled: (status: JobStatus | null) => void): boolean;
   created(id: string, value: unknown): void;
 }
 
@@ -41,15 +43,15 @@
   askOthers(request: MeshRequest, timeoutMs: number): Promise<MeshReply | null>;
 }
 
-type Looked = { kind: 'status'; status: JobStatus } | { kind: 'missing' } | { kind: 'unable' };
-type Created = Looked | { kind: 'created' };
+type Created = Finding | { kind: 'created' };
 
 const PENDING: JobStatus = { stage: 'pending', done: 0, running: 0 };
 const CANCEL_FORWARD_MS = 2500;
 
 /**
- * The users' side of every controller. Creating a job needs the store alone; its state comes from the leader,
- * or from a fresh look into the store, which can't be older than what anybody was told before.
+ * The users' side of every controller. Creating a job needs the store alone. A state that is told is either final
+ * and durable, or certain in the memory of a leader that surely leads, or read from the store after the request came
+ * in: so no answer is older than one that any controller gave before the request. docs/safety.md lists every path.
  */
 export class UserDoor {
   constructor(private readonly deps: DoorDeps) {}
@@ -59,10 +61,20 @@
   }
 
   private found(id: string, status: JobStatus, code = 200): Answer {
-    if (status.stage === 'done' || status.stage === 'cancelled') this.deps.finals.put(id, status);
+    if (isFinal(status)) this.deps.finals.put(id, status);
+    // The end may have become known here while an open state was being looked up.
+    const final = this.deps.finals.get(id);
+    if (final) return { status: 200, body: encodeStatus(id, final) };
     return { status: code, body: encodeStatus(id, status) };
   }
 
+  /** Runs a read. What it found is only told while that can't have been overtaken by much. */
+  private async timely(read: () => Promise<Finding>): Promise<Finding> {
+    const begunAt = this.deps.clock.now();
+    const finding = await read();
+    return unlessOvertaken(finding, this.deps.clock.now() - begunAt);
+  }
+
   // ---- submissions ----
 
   submit(body: string, reply: Reply): void {
@@ -73,8 +85,9 @@
     const decoded = decodeJob(body);
     const id = decoded.ok ? decoded.value.id : peekJobId(body);
     if (id === null) return failure(400, decoded.ok ? 'malformed' : decoded.reason);
-    const known = this.known(id);
-    if (known) return this.found(id, known);
+    const known = this.view(id);
+    if (known.kind === 'status') return this.found(id, known.status);
+    if (known.kind === 'uncertain') return this.stateOfUncertain(id);
     if (!decoded.ok) return this.unlessKnown(id, failure(400, decoded.reason));
     const job = decoded.value;
     const catalog = this.deps.catalog();
@@ -85,12 +98,27 @@
     const created = await this.create(job);
     if (created.kind === 'created') return this.found(id, PENDING, 201);
     if (created.kind === 'status') return this.found(id, created.status);
+    return this.createdByOthers(id, body);
+  }
+
+  private async createdByOthers(id: string, body: string): Promise<Answer> {
     const request: MeshRequest = { kind: 'submit', jobId: id, body };
-    const answer = await this.deps.askOthers(request, this.deps.options.users.forward_ms * 2);
-    if (answer?.kind === 'status') return this.found(id, answer, answer.created ? 201 : 200);
+    let created = false;
+    const looked = await this.timely(async () => {
+      const reply = await this.deps.askOthers(request, this.deps.options.users.forward_ms * 2);
+      created = reply?.kind === 'status' && reply.created;
+      return this.lookedBy(reply);
+    });
+    if (looked.kind === 'status') return this.found(id, looked.status, created ? 201 : 200);
     return this.busy('the state service can not be reached');
   }
 
+  /** A job whose end is being written: only the store can say whether it is over. */
+  private async stateOfUncertain(id: string): Promise<Answer> {
+    const looked = await this.lookWithHelp(id);
+    return looked.kind === 'status' ? this.found(id, looked.status) : this.busy('state not known now');
+  }
+
   /** A known job is answered with its state, whatever else was sent with its id. */
   private async unlessKnown(id: string, otherwise: Answer): Promise<Answer> {
     const looked = await this.look(id);
@@ -100,6 +128,7 @@
 
   private async create(job: JobRequest): Promise<Created> {
     const value = openValue(job, this.deps.clock.wall());
+    const begunAt = this.deps.clock.now();
     const result = await this.deps.store.txn(
       [
         { key: KEYS.open(job.id), version: 0 },
@@ -108,16 +137,21 @@
       [{ put: KEYS.open(job.id), value }],
       'user',
     );
-    if (result.kind === 'ok') return { kind: 'created' };
     if (result.kind === 'conflict') return this.look(job.id);
-    return { kind: 'unable' };
+    if (result.kind !== 'ok') return { kind: 'unable' };
+    // By a slow answer the job may be over already, and its user may have been told so elsewhere.
+    const tookMs = this.deps.clock.now() - begunAt;
+    const timely = unlessOvertaken({ kind: 'status', status: PENDING }, tookMs).kind === 'status';
+    return timely ? { kind: 'created' } : this.look(job.id);
   }
 
   // ---- state ----
 
-  /** What this node knows without asking: a final state, or a leader's view. */
-  private known(id: string): JobStatus | undefined {
-    return this.deps.finals.get(id) ?? this.deps.leader()?.status(id) ?? undefined;
+  /** What this node can say without asking: a final state, or what it knows as the leader. */
+  private view(id: string): LeaderView {
+    const status = this.deps.finals.get(id);
+    if (status) return { kind: 'status', status };
+    return this.deps.leader()?.view(id) ?? { kind: 'unknown' };
   }
 
   poll(id: string, reply: Reply): void {
@@ -125,9 +159,9 @@
       reply(failure(404, 'no such job'));
       return;
     }
-    const known = this.known(id);
-    if (known) {
-      reply(this.found(id, known));
+    const known = this.view(id);
+    if (known.kind === 'status') {
+      reply(this.found(id, known.status));
       return;
     }
     void this.lookEverywhere(id).then((looked) => {
@@ -137,27 +171,42 @@
     });
   }
 
-  private async lookEverywhere(id: string): Promise<Looked> {
-    const answer = await this.deps.askLeader({ kind: 'poll', jobId: id }, this.deps.options.users.forward_ms);
-    if (answer?.kind === 'status') return { kind: 'status', status: answer };
+  private async lookEverywhere(id: string): Promise<Finding> {
+    const told = await this.timely(() => this.askLeader(id));
+    return told.kind === 'status' ? told : this.lookWithHelp(id);
+  }
+
+  /** The leader answers from memory, so that a job it doesn't know may exist all the same. */
+  private async askLeader(id: string): Promise<Finding> {
+    const { forward_ms } = this.deps.options.users;
+    const reply = await this.deps.askLeader({ kind: 'poll', jobId: id }, forward_ms);
+    return reply?.kind === 'status' ? { kind: 'status', status: reply } : { kind: 'unable' };
+  }
+
+  /** A fresh look. Perhaps the state service refuses this node alone; what others find is as fresh. */
+  private async lookWithHelp(id: string): Promise<Finding> {
     const looked = await this.look(id);
     if (looked.kind !== 'unable') return looked;
-    // Perhaps the state service refuses this node alone; what others find is as fresh.
-    return this.lookedBy(
-      await this.deps.askOthers({ kind: 'look', jobId: id }, this.deps.options.users.forward_ms),
+    const { forward_ms } = this.deps.options.users;
+    return this.timely(async () =>
+      this.lookedBy(await this.deps.askOthers({ kind: 'look', jobId: id }, forward_ms)),
     );
   }
 
-  private lookedBy(reply: MeshReply | null): Looked {
+  private lookedBy(reply: MeshReply | null): Finding {
     if (reply?.kind === 'status') return { kind: 'status', status: reply };
     return { kind: reply?.kind === 'unknown' ? 'missing' : 'unable' };
   }
 
-  /** A fresh look into the store: the open record first, since a job only ever moves from open to final. */
-  private async look(id: string): Promise<Looked> {
+  private look(id: string): Promise<Finding> {
+    return this.timely(() => this.readRecords(id));
+  }
+
+  /** A read of the store: the open record first, since a job only ever moves from open to final. */
+  private async readRecords(id: string): Promise<Finding> {
     const open = await this.deps.store.get(KEYS.open(id), 'user');
     if (open.kind !== 'ok') return { kind: 'unable' };
-    if (open.value) return { kind: 'status', status: this.deps.leader()?.status(id) ?? PENDING };
+    if (open.value) return { kind: 'status', status: this.statusOfOpen(id) };
     const final = await this.deps.store.get(KEYS.final(id), 'user');
     if (final.kind !== 'ok') return { kind: 'unable' };
     if (!final.value) return { kind: 'missing' };
@@ -165,6 +214,12 @@
     return status ? { kind: 'status', status } : { kind: 'unable' };
   }
 
+  /** The store says that the job is open; a leader on this node knows more, unless it is unsure itself. */
+  private statusOfOpen(id: string): JobStatus {
+    const known = this.view(id);
+    return known.kind === 'status' ? known.status : PENDING;
+  }
+
   // ---- cancellations ----
 
   cancel(id: string, reply: Reply): void {
@@ -178,16 +233,19 @@
       return;
     }
     void this.cancelled(id).then((looked) => {
-      if (looked.kind === 'status') reply(this.found(id, looked.status));
+      // Only a final state answers a cancellation: a job can be created while it is being looked for.
+      if (looked.kind === 'status' && isFinal(looked.status)) reply(this.found(id, looked.status));
       else if (looked.kind === 'missing') reply(failure(404, 'no such job'));
       else reply(this.busy('can not be cancelled now'));
     });
   }
 
-  private async cancelled(id: string): Promise<Looked> {
+  private async cancelled(id: string): Promise<Finding> {
     if (this.deps.leader()) return this.cancelAsLeader(id);
     const request: MeshRequest = { kind: 'cancel', jobId: id };
-    const first = this.lookedBy(await this.deps.askLeader(request, CANCEL_FORWARD_MS));
+    const first = await this.timely(async () =>
+      this.lookedBy(await this.deps.askLeader(request, CANCEL_FORWARD_MS)),
+    );
     if (first.kind !== 'unable') return first;
     const end = this.deps.actAlone();
     if (end) {
@@ -199,10 +257,11 @@
       }
     }
     // This node may know of no leader, or of one that was, while another leads.
-    return this.lookedBy(await this.deps.askOthers(request, CANCEL_FORWARD_MS));
+    return this.timely(async () => this.lookedBy(await this.deps.askOthers(request, CANCEL_FORWARD_MS)));
   }
 
-  private async cancelAsLeader(id: string): Promise<Looked> {
+  private async cancelAsLeader(id: string): Promise<Finding> {
+    const term = this.deps.leader()?.term;
     const first = await this.cancelHere(id);
     if (first) return first;
     // Not known here: over already, never accepted, or created a moment ago by another node.
@@ -210,23 +269,24 @@
     if (open.kind !== 'ok') return { kind: 'unable' };
     if (!open.value) return this.look(id);
     const leader = this.deps.leader();
-    if (!leader) return { kind: 'unable' };
+    // Of another term, it may have loaded its jobs after this one was over: it must not be brought back.
+    if (!leader || leader.term !== term) return { kind: 'unable' };
     leader.created(id, open.value.value);
     return (await this.cancelHere(id)) ?? { kind: 'unable' };
   }
 
-  private cancelHere(id: string): Promise<Looked | null> {
+  private cancelHere(id: string): Promise<Finding | null> {
     return new Promise((resolve) => {
       const leader = this.deps.leader();
       const taken = leader?.cancel(id, (status) => {
-        resolve({ kind: 'status', status });
+        resolve(status ? { kind: 'status', status } : { kind: 'unable' });
       });
       if (!taken) resolve(null);
     });
   }
 
   /** Only while no node holds the leader key: a leader would go on telling what it knows. */
-  private async cancelWithoutLeader(id: string): Promise<Looked> {
+  private async cancelWithoutLeader(id: string): Promise<Finding> {
     const open = await this.deps.store.get(KEYS.open(id), 'user');
     if (open.kind !== 'ok') return { kind: 'unable' };
     if (!open.value) return this.look(id);
@@ -249,17 +309,17 @@
     request: Exclude<MeshRequest, { kind: 'promise' | 'ping' | 'workers' }>,
     reply: (reply: MeshReply) => void,
   ): void {
-    const answer = (looked: Looked): void => {
+    const answer = (looked: Finding): void => {
       if (looked.kind === 'status') reply({ kind: 'status', created: false, ...looked.status });
       else reply({ kind: looked.kind === 'missing' ? 'unknown' : 'unable' });
     };
     if (request.kind === 'poll') {
-      const status = this.known(request.jobId);
-      if (!this.deps.leader()) answer({ kind: 'unable' });
-      else answer(status ? { kind: 'status', status } : { kind: 'missing' });
+      // Anything but a certain state sends the asking node to the store.
+      const known = this.view(request.jobId);
+      answer(known.kind === 'status' ? known : { kind: 'unable' });
     } else if (request.kind === 'look') {
-      const status = this.known(request.jobId);
-      if (status) answer({ kind: 'status', status });
+      const known = this.view(request.jobId);
+      if (known.kind === 'status') answer(known);
       else void this.look(request.jobId).then(answer);
     } else if (request.kind === 'cancel') {
       if (this.deps.leader()) void this.cancelAsLeader(request.jobId).then(answer);
--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -178,6 +178,11 @@
     return this.doneCount === this.spec.tasks;
   }
 
+  /** The job is to end, and its final record isn't known to be durable. */
+  get endUnconfirmed(): boolean {
+    return this.ending !== null && this.final === null;
+  }
+
   status(): JobStatus {
     if (this.final) return { stage: this.final, done: this.doneCount, running: 0 };
     return {
--- a/test/jobs/door.test.ts
+++ b/test/jobs/door.test.ts
@@ -3,22 +3,40 @@
 import { defaultOptions } from '../../src/config/options.ts';
 import { Catalog } from '../../src/fleet/catalog.ts';
 import type { Answer } from '../../src/http/server.ts';
-import { UserDoor } from '../../src/jobs/door.ts';
+import { UserDoor, type DoorDeps, type LocalLeader } from '../../src/jobs/door.ts';
 import { FinalCache } from '../../src/jobs/finals.ts';
+import { MAX_FINDING_AGE_MS } from '../../src/jobs/knowledge.ts';
 import type { MeshReply, MeshRequest } from '../../src/mesh/frames.ts';
 import type { StoreClient } from '../../src/store/client.ts';
+import { KEYS } from '../../src/store/keys.ts';
+import type { Item } from '../../src/wire/state.ts';
 import { BIG, FakeClock } from '../helpers.ts';
 import { JOB } from '../wire/sample.ts';
 
-/** A controller that the state service refuses alone and that knows of no leader. */
-function refused(others: (request: MeshRequest) => MeshReply | null): {
-  door: UserDoor;
-  asked: MeshRequest[];
-} {
-  const asked: MeshRequest[] = [];
-  const refuse = () => Promise.resolve({ kind: 'refused' as const });
-  const store = { get: refuse, txn: refuse } as unknown as StoreClient;
-  const door = new UserDoor({
+const OPEN = { at: 0, job: JOB };
+const ID = 'req-000001';
+
+/** A controller without a leader over a store whose calls take a given time, on the controller's own clock. */
+function slow(records: Record<string, unknown>, ms: number): UserDoor {
+  const clock = new FakeClock();
+  const found = (key: string): Item | null =>
+    key in records ? { key, value: records[key], version: 1, lease: null } : null;
+  const store = {
+    get: (key: string) => {
+      clock.at += ms;
+      return Promise.resolve({ kind: 'ok', value: found(key) });
+    },
+    txn: () => {
+      clock.at += ms;
+      const known = KEYS.open(JOB.uid) in records;
+      return Promise.resolve(known ? { kind: 'conflict', failed: [] } : { kind: 'ok', revision: 2 });
+    },
+  } as unknown as StoreClient;
+  return doorOver(store, { clock });
+}
+
+function doorOver(store: StoreClient, over: Partial<DoorDeps> = {}): UserDoor {
+  return new UserDoor({
     clock: new FakeClock(),
     options: defaultOptions(),
     store,
@@ -28,6 +46,20 @@
     leader: () => null,
     actAlone: () => () => undefined,
     askLeader: () => Promise.resolve(null),
+    askOthers: () => Promise.resolve(null),
+    ...over,
+  });
+}
+
+/** A controller that the state service refuses alone and that knows of no leader. */
+function refused(others: (request: MeshRequest) => MeshReply | null): {
+  door: UserDoor;
+  asked: MeshRequest[];
+} {
+  const asked: MeshRequest[] = [];
+  const refuse = () => Promise.resolve({ kind: 'refused' as const });
+  const store = { get: refuse, txn: refuse } as unknown as StoreClient;
+  const door = doorOver(store, {
     askOthers: (request) => {
       asked.push(request);
       return Promise.resolve(others(request));
@@ -41,7 +73,11 @@
 test('a node that the state service refuses alone answers with the help of the others', async () => {
   // Its users' polls were once refused for as long as it was, while those of other nodes were answered.
   const running = { kind: 'status', created: false, stage: 'running', done: 1, running: 2 } as const;
-  const helped = refused((r) => (r.kind === 'submit' ? { ...running, created: true } : running));
+  const cancelled = { ...running, stage: 'cancelled', running: 0 } as const;
+  const helped = refused((r) => {
+    if (r.kind === 'submit') return { ...running, created: true };
+    return r.kind === 'cancel' ? cancelled : running;
+  });
   const poll = await answer((reply) => {
     helped.door.poll('req-000001', reply);
   });
@@ -55,6 +91,7 @@
     helped.door.cancel('req-000001', reply);
   });
   assert.equal(cancel.status, 200);
+  assert.equal((JSON.parse(cancel.body) as { stage: string }).stage, 'aborted');
   assert.deepEqual(
     helped.asked.map((r) => r.kind),
     ['look', 'submit', 'cancel'],
@@ -73,3 +110,61 @@
   assert.equal(busy.status, 503);
   assert.ok((busy.retryAfterS ?? 0) >= 1);
 });
+
+test('an answer from a read that took long is refused unless it is final', async () => {
+  // Meanwhile another controller may have told the user something newer.
+  const poll = (door: UserDoor): Promise<Answer> =>
+    answer((reply) => {
+      door.poll(ID, reply);
+    });
+  assert.ok(MAX_FINDING_AGE_MS < 2000, 'users wait for 2 s');
+  const late = MAX_FINDING_AGE_MS + 1;
+  const open = { [KEYS.open(ID)]: OPEN };
+  assert.equal((await poll(slow(open, MAX_FINDING_AGE_MS))).status, 200);
+  assert.equal((await poll(slow(open, late))).status, 503);
+  assert.equal((await poll(slow({}, late / 2))).status, 503, 'two reads that found nothing');
+  assert.equal((await poll(slow({ [KEYS.final(ID)]: { s: 'done', n: 16 } }, late))).status, 200);
+});
+
+test('a submission that was carried out but answered late is looked up before it is told', async () => {
+  const submit = (door: UserDoor): Promise<Answer> =>
+    answer((reply) => {
+      door.submit(JSON.stringify(JOB), reply);
+    });
+  assert.equal((await submit(slow({}, 10))).status, 201);
+  const late = slow({ [KEYS.final(JOB.uid)]: { s: 'cancelled', n: 0 } }, MAX_FINDING_AGE_MS + 1);
+  const told = await submit(late);
+  assert.deepEqual([told.status, (JSON.parse(told.body) as { stage: string }).stage], [200, 'aborted']);
+});
+
+test('a cancellation is answered with a final state or refused', async () => {
+  const open = { kind: 'status', created: false, stage: 'pending', done: 0, running: 0 } as const;
+  const { door } = refused(() => open);
+  const told = await answer((reply) => {
+    door.cancel(ID, reply);
+  });
+  assert.equal(told.status, 503);
+});
+
+test('what was read in one term brings no job back in the next one of the same controller', async () => {
+  // Another controller may have led in between and ended the job.
+  let term = 1;
+  const created: string[] = [];
+  const leader = (): LocalLeader => ({
+    term,
+    view: () => ({ kind: 'unknown' }),
+    cancel: () => false,
+    created: (id) => created.push(id),
+  });
+  const store = {
+    get: (key: string) => {
+      term = 3;
+      return Promise.resolve({ kind: 'ok', value: { key, value: OPEN, version: 1, lease: null } });
+    },
+  } as unknown as StoreClient;
+  const told = await answer((reply) => {
+    doorOver(store, { leader }).cancel(ID, reply);
+  });
+  assert.equal(told.status, 503);
+  assert.deepEqual(created, []);
+});
--- a/test/model/world.ts
+++ b/test/model/world.ts
@@ -5,6 +5,7 @@
 import { Leader } from '../../src/core/leader.ts';
 import { Catalog } from '../../src/fleet/catalog.ts';
 import type { Cloud, RentResult } from '../../src/fleet/cloud.ts';
+import { EndWrites } from '../../src/jobs/end-writes.ts';
 import { finalValue, openValue, readFinal } from '../../src/jobs/records.ts';
 import { validUntil } from '../../src/leadership/election.ts';
 import { RateBudget } from '../../src/store/budget.ts';
@@ -315,9 +316,10 @@
     const { life } = c;
     const current = (): boolean => c.alive && c.life === life && c.held === held;
     const options = defaultOptions();
+    const endWrites = new EndWrites();
     const writer = new LeaderWriter(
       {
-        txn: (conditions, changes) => {
+        txn: endWrites.noting((conditions, changes) => {
           // Without the guard, notes of what is begun need neither the leader's key nor the state service.
           const notes = changes.every(
             (x) => 'put' in x && (x.put.startsWith(KEYS.begunPrefix) || x.put === KEYS.fence),
@@ -327,7 +329,7 @@
           }
           const kept = this.guards.fence ? conditions : conditions.filter((x) => x.key === KEYS.leader);
           return this.state.txn(kept, changes, () => current() && this.reachable(c));
-        },
+        }),
         readFence: () =>
           Promise.resolve(this.reachable(c) ? (this.state.data.get(KEYS.fence)?.version ?? 0) : null),
         lost: () => {
@@ -375,8 +377,11 @@
             };
             if (worker && c.workersLostUntil <= this.sim.at) this.carry(worker, answer, c.index === 0, true);
           }),
-        final: () => undefined,
+        final: (id) => {
+          endWrites.forget(id);
+        },
         isFinal: (id) => this.state.data.has(KEYS.final(id)),
+        endMayBeWritten: (id) => endWrites.mayBeWritten(id),
         post: (command) => {
           this.sim.after(0, () => {
             if (!current() || c.leader !== leader) return;
@@ -519,7 +524,7 @@
     if (!user || user.told === 'done' || user.told === 'cancelled') return;
     user.askedToCancel = true;
     const c = this.controllers[Math.floor(this.sim.random() * 3)]!;
-    if (c.alive && c.leader?.cancel(id, (status) => this.tell(user, status.stage))) {
+    if (c.alive && c.leader?.cancel(id, (status) => status && this.tell(user, status.stage))) {
       this.batch(c);
     } else if (!this.state.down && !this.state.hasLeader() && this.state.data.has(KEYS.open(id))) {
       const version = this.state.data.get(KEYS.open(id))!.version;
@@ -557,8 +562,8 @@
     const user = this.users.get(id)!;
     const c = this.controllers[Math.floor(this.sim.random() * 3)]!;
     if (c.alive) {
-      const status = c.leader?.status(id);
-      if (status) this.tell(user, status.stage);
+      const known = c.leader?.view(id);
+      if (known?.kind === 'status') this.tell(user, known.status.stage);
       else if (this.reachable(c)) this.look(user);
     }
     this.sim.after(2500, () => this.poll(id));
