A controller that runs on any platform: clock, timers, random numbers and network are injected

The wiring of a controller was bound to sockets and process timers, so that only the leader could be run in simulated time; the election, the users' requests and the requests between controllers were simulated by stand-ins. The clients of the state service, cloud and workers take a sender of requests instead of an address.

--- /dev/null
+++ b/src/core/controller.ts
@@ -0,0 +1,467 @@
+import type { Options } from '../config/options.ts';
+import type { Settings } from '../config/settings.ts';
+import { Catalog, catalogValue, readCatalogValue } from '../fleet/catalog.ts';
+import { CloudClient } from '../fleet/cloud.ts';
+import { AdaptiveLimit, USER_SLACK_MS, WORKER_SLACK_MS } from '../http/limit.ts';
+import { failure, type Answer, type HttpRequest, type Reply } from '../http/server.ts';
+import { UserDoor, type LocalLeader } from '../jobs/door.ts';
+import { FinalCache } from '../jobs/finals.ts';
+import type { TeamLimits } from '../jobs/admission.ts';
+import { Election, leaseMs, type Leadership } from '../leadership/election.ts';
+import type { MeshReply, MeshRequest } from '../mesh/frames.ts';
+import { askAny } from '../mesh/ask.ts';
+import { Reach } from '../mesh/reach.ts';
+import { RateBudget } from '../store/budget.ts';
+import { StoreClient } from '../store/client.ts';
+import { KEYS } from '../store/keys.ts';
+import { LeaderWriter } from '../store/writer.ts';
+import { decodeReport, encodeReportAnswer, encodeReportTo } from '../wire/worker.ts';
+import { WorkerClient } from '../workers/client.ts';
+import type { Clock } from './clock.ts';
+import { Intern } from './intern.ts';
+import { Leader } from './leader.ts';
+import { Lag } from './lag.ts';
+import type { Logger } from './log.ts';
+import { Owner } from './owner.ts';
+import type { Platform } from './platform.ts';
+import { Routes } from './routes.ts';
+
+const TICK_MS = 200;
+const PROMISE_WAIT_MS = 700;
+const REACH_CHECK_MS = 1000;
+/** After all others were of no help they are not asked again for so long: troubles may be everybody's. */
+const OTHERS_PAUSE_MS = 1000;
+/** How long a node that has lost its workers doesn't stand for leader. */
+const YIELD_MS = 30_000;
+
+/** Part of the node's sockets that orders to workers may use; the rest is for those who connect to us. */
+const ORDER_SOCKETS = 0.1;
+
+/** How many connections to workers a node with so many sockets may open at once. */
+export function orderSockets(sockets: number): number {
+  return Math.max(8, Math.floor(sockets * ORDER_SOCKETS));
+}
+
+/**
+ * One controller, whatever carries its messages: wires the slices together and owns the leadership while it has
+ * it. Requests of users and workers and those of other controllers are handed in; clock, timers, random numbers
+ * and network come with the platform, so that a simulation runs the very same code.
+ */
+export class Controller {
+  private readonly clock: Clock;
+  private readonly lag: Lag;
+  private readonly owner: Owner;
+  private readonly store: StoreClient;
+  private readonly cloud: CloudClient;
+  private readonly workers: WorkerClient;
+  private readonly door: UserDoor;
+  private readonly election: Election;
+  private readonly finals: FinalCache;
+  private readonly reach: Reach;
+  private othersFailedAt = -Infinity;
+  private askedOthersAt = -Infinity;
+  /** When a worker last tried to report here. */
+  private reportedAt = -Infinity;
+  private readonly teams: TeamLimits[];
+  private readonly zones: Intern;
+  private readonly routes: Routes;
+  private readonly graceMs: number;
+  private catalog: Catalog | null = null;
+  private leader: Leader | null = null;
+  private readonly timers: (() => void)[] = [];
+  private stopped = false;
+
+  constructor(
+    private readonly settings: Settings,
+    private readonly options: Options,
+    private readonly log: Logger,
+    private readonly platform: Platform,
+  ) {
+    this.clock = platform.clock;
+    this.lag = new Lag(TICK_MS, () => this.clock.now());
+    const now = (): number => this.clock.now();
+    const { state, cloud, workers, teams, zones } = settings.settings;
+    this.owner = new Owner(
+      () => this.leader?.afterBatch(),
+      (error) => {
+        log.error(
+          { error: error instanceof Error ? (error.stack ?? error.message) : String(error) },
+          'fault',
+        );
+      },
+      (run) => {
+        platform.timers.defer(run);
+      },
+    );
+    this.store = new StoreClient(
+      (connections) => platform.network.connect(settings.endpoints.state, connections),
+      { rps: state.rps, nodes: settings.settings.nodes },
+      now,
+      log,
+    );
+    const { sockets } = settings.settings.limits;
+    this.workers = new WorkerClient(platform.network.shared(orderSockets(sockets)));
+    this.cloud = new CloudClient(
+      (connections) => platform.network.connect(settings.endpoints.cloud, connections),
+      cloud.rps,
+      now,
+      log,
+    );
+    this.finals = new FinalCache(options.users.final_cache);
+    this.teams = teams.map((t) => ({
+      name: t.name,
+      cpus: t.cpus,
+      gpus: t.gpus,
+      cpusMax: t.cpus_max,
+      gpusMax: t.gpus_max,
+    }));
+    this.zones = new Intern(zones);
+    // With the workers' lease it must stay within the time of a cancellation.
+    this.graceMs =
+      Math.min(options.leadership.grace_s, Math.max(0, (workers.cancel_s - workers.lease_s) * 0.6)) * 1000;
+    const { peers } = platform;
+    this.door = new UserDoor({
+      clock: this.clock,
+      options,
+      store: this.store,
+      finals: this.finals,
+      teams: this.teams,
+      catalog: () => this.catalog,
+      leader: () => this.localLeader(),
+      actAlone: () => this.election.actAlone(),
+      askLeader: (request, timeoutMs) => {
+        const leader = this.election.leader();
+        if (leader === null || leader === settings.host_name) return Promise.resolve(null);
+        return peers.ask(leader, request, timeoutMs);
+      },
+      askOthers: (request, timeoutMs) => this.askOthers(request, timeoutMs),
+    });
+    this.reach = new Reach({
+      clock: this.clock,
+      storeServedAt: () => this.store.servedAt,
+      askStore: () => this.store.get(KEYS.term, 'background'),
+      askPeers: async () => (await askAny(peers, { kind: 'ping' }, PROMISE_WAIT_MS, () => true)) !== null,
+    });
+    this.election = new Election(
+      settings.host_name,
+      platform.nonce,
+      this.store,
+      this.clock,
+      () => platform.random(),
+      {
+        ttlMs: leaseMs(options.leadership.lease_ms, settings.settings.limits.cores),
+        renewMs: options.leadership.renew_ms,
+      },
+      {
+        won: (leadership) => {
+          this.owner.post(() => void this.lead(leadership));
+        },
+        lost: () => {
+          this.leader?.stop();
+          this.leader = null;
+        },
+      },
+      log,
+      (ms) => platform.timers.pause(ms),
+      // Only the promises of all other controllers together say anything.
+      peers.names.length === settings.settings.nodes - 1
+        ? async (term, ms) => {
+            const asked = peers.names.map((name) =>
+              peers.ask(name, { kind: 'promise', term, ms }, PROMISE_WAIT_MS),
+            );
+            return (await Promise.all(asked)).every((reply) => reply?.kind === 'promised');
+          }
+        : null,
+    );
+    const limit = (initial: number, min: number, max: number, slackMs: number): AdaptiveLimit =>
+      new AdaptiveLimit(now, { initial, min, max, slackMs, tolerance: 4 });
+    const { users_min, users_max, workers_min, workers_max } = options.http;
+    // Each worker has one report in progress, over a socket of its own.
+    const most = Math.max(workers_min, Math.min(workers_max, sockets));
+    this.routes = new Routes({
+      options,
+      door: this.door,
+      userLimit: limit(64, users_min, users_max, USER_SLACK_MS),
+      workerLimit: limit(most, workers_min, most, WORKER_SLACK_MS),
+      post: (command) => {
+        this.owner.post(command);
+      },
+      onReport: (body, reply) => {
+        this.onReport(body, reply);
+      },
+      health: () => this.health(),
+    });
+  }
+
+  start(): void {
+    this.election.start();
+    void this.readCatalog();
+    this.timers.push(
+      this.platform.timers.every(TICK_MS, () => {
+        this.lag.tick();
+        this.owner.post(() => undefined);
+      }),
+      this.platform.timers.every(REACH_CHECK_MS, () => void this.reach.check()),
+    );
+  }
+
+  /** Ends all work of this node. */
+  stop(): void {
+    this.stopped = true;
+    this.election.stop();
+    this.election.stepDown('stopped');
+    for (const end of this.timers) end();
+    this.store.close();
+    this.cloud.close();
+    this.workers.close();
+  }
+
+  /** A request of a user, a worker or a health check. */
+  handle(request: HttpRequest, reply: Reply): void {
+    this.routes.route(request, reply);
+  }
+
+  /** A request of another controller. */
+  onPeer(request: MeshRequest, reply: (reply: MeshReply) => void): void {
+    this.owner.post(() => {
+      if (request.kind === 'ping') {
+        reply({ kind: 'here' });
+        return;
+      }
+      if (request.kind === 'workers') {
+        const lately = this.clock.now() - this.reportedAt < this.settings.settings.workers.report_s * 1000;
+        reply({ kind: lately ? 'here' : 'unable' });
+        return;
+      }
+      if (request.kind !== 'promise') {
+        this.door.onMesh(request, reply);
+        return;
+      }
+      void this.election.promise(request.ms).then((given) => {
+        reply({ kind: given ? 'promised' : 'unable' });
+      });
+    });
+  }
+
+  /** True while another controller is known to lead. */
+  following(): boolean {
+    return !this.leader && this.election.leader() !== null;
+  }
+
+  private pause(ms: number): Promise<void> {
+    return this.platform.timers.pause(ms);
+  }
+
+  private async readCatalog(): Promise<void> {
+    for (let pauseMs = 300; !this.catalog && !this.stopped; pauseMs = Math.min(3000, pauseMs * 2)) {
+      // Both are asked at once: a node that starts while the cloud is in trouble must still be able to lead.
+      void this.store.get(KEYS.catalog, 'user').then((kept) => {
+        if (kept.kind === 'ok' && kept.value) this.catalog ??= readCatalogValue(kept.value.value);
+      });
+      const types = await this.cloud.catalog();
+      if (types) this.catalog ??= new Catalog(types);
+      else await this.pause(pauseMs);
+    }
+  }
+
+  /** Keeps the catalog in the store, if it fits a value there. */
+  private keepCatalog(writer: LeaderWriter): void {
+    const value = catalogValue(this.catalog!);
+    if (JSON.stringify(value).length > this.settings.settings.state.value_kb * 1000) return;
+    writer.push({ changes: [{ put: KEYS.catalog, value }], done: () => undefined }, false);
+  }
+
+  // ---- leadership ----
+
+  private localLeader(): LocalLeader | null {
+    const leader = this.leader;
+    if (!leader) return null;
+    return {
+      status: (id) => leader.status(id),
+      cancel: (id, settled) => leader.cancel(id, settled),
+      created: (id, value) => {
+        leader.created(id, value);
+      },
+    };
+  }
+
+  /**
+   * A leader that has lost its workers, and only those, must not go on leading: it would call them silent and
+   * give their machines back, while they try one controller after the other and are sent to it.
+   */
+  private async leaveToOthers(held: Leadership): Promise<void> {
+    if (this.clock.now() - this.askedOthersAt < OTHERS_PAUSE_MS) return;
+    this.askedOthersAt = this.clock.now();
+    const heard = await askAny(
+      this.platform.peers,
+      { kind: 'workers' },
+      PROMISE_WAIT_MS,
+      (r) => r.kind === 'here',
+    );
+    if (heard && this.isCurrent(held)) this.election.yieldFor(YIELD_MS, 'workers reach others only');
+  }
+
+  private async askOthers(request: MeshRequest, timeoutMs: number): Promise<MeshReply | null> {
+    if (this.clock.now() - this.othersFailedAt < OTHERS_PAUSE_MS) return null;
+    const reply = await askAny(this.platform.peers, request, timeoutMs, (r) => r.kind !== 'unable');
+    if (!reply) this.othersFailedAt = this.clock.now();
+    return reply;
+  }
+
+  private isCurrent(held: Leadership): boolean {
+    return this.election.current() === held;
+  }
+
+  private async lead(held: Leadership): Promise<void> {
+    const pause = (ms: number): Promise<void> => this.pause(ms);
+    while (!this.catalog && this.isCurrent(held)) await pause(50);
+    let fence = await this.store.get(KEYS.fence, 'lease');
+    while (fence.kind !== 'ok' && this.isCurrent(held)) {
+      await pause(150);
+      fence = await this.store.get(KEYS.fence, 'lease');
+    }
+    if (!this.isCurrent(held) || fence.kind !== 'ok') return;
+    const { state } = this.settings.settings;
+    const writer = new LeaderWriter(
+      {
+        txn: (conditions, changes) => this.store.txn(conditions, changes, 'lease'),
+        readFence: async () => {
+          const read = await this.store.get(KEYS.fence, 'lease');
+          return read.kind === 'ok' ? (read.value?.version ?? 0) : null;
+        },
+        lost: (reason) => {
+          this.election.stepDown(reason);
+        },
+        pause,
+      },
+      held.version,
+      fence.value?.version ?? 0,
+      { txnOps: state.txn_ops, bytes: 56 * 1024 },
+      new RateBudget(state.write_rps * 0.7, () => this.clock.now()),
+      this.log,
+    );
+    const leader = new Leader({
+      host: {
+        clock: this.clock,
+        log: this.log,
+        surelyLeading: () => this.isCurrent(held) && this.election.surelyLeading(),
+        order: (machine, commands) => this.workers.order(machine, held.term, commands),
+        inspect: (machine) => this.workers.inspect(machine),
+        final: (id, status) => {
+          this.finals.put(id, status);
+        },
+        isFinal: (id) => this.finals.get(id) !== undefined,
+        post: (command) => {
+          this.owner.post(command);
+        },
+        pause,
+        superseded: () => {
+          this.election.stepDown('a worker has seen a higher token');
+        },
+        lagMs: () => this.lag.ms(),
+        hearsNobody: () => {
+          void this.leaveToOthers(held);
+        },
+      },
+      settings: this.settings,
+      options: this.options,
+      teams: this.teams,
+      zones: this.zones,
+      catalog: this.catalog!,
+      cloud: this.cloud,
+      writer,
+      term: held.term,
+      graceMs: this.graceMs,
+    });
+    this.leader = leader;
+    this.keepCatalog(writer);
+    let revision = -1;
+    while (this.isCurrent(held) && revision < 0) {
+      const open = await this.store.list(KEYS.openPrefix, 'lease');
+      const finished = await this.store.list(KEYS.finishedPrefix, 'lease');
+      const begun = await this.store.list(KEYS.begunPrefix, 'lease');
+      const roster = await this.store.list(KEYS.machinePrefix, 'lease');
+      if (open.kind === 'ok' && finished.kind === 'ok' && begun.kind === 'ok' && roster.kind === 'ok') {
+        revision = open.value.revision;
+        this.owner.post(() => {
+          if (this.leader === leader) {
+            leader.load({
+              open: open.value.items,
+              finished: finished.value.items,
+              begun: begun.value.items,
+              roster: roster.value.items,
+            });
+          }
+        });
+      } else {
+        await pause(200);
+      }
+    }
+    await this.watchJobs(held, leader, revision);
+  }
+
+  private async watchJobs(held: Leadership, leader: Leader, from: number): Promise<void> {
+    let revision = from;
+    while (this.isCurrent(held)) {
+      const watched = await this.store.watch(KEYS.openPrefix, revision, 20_000);
+      if (!this.isCurrent(held)) return;
+      if (watched.kind === 'ok') {
+        revision = watched.value.revision;
+        const { events } = watched.value;
+        if (events.length > 0) {
+          this.owner.post(() => {
+            if (this.leader === leader) leader.onStoreEvents(events);
+          });
+        }
+        continue;
+      }
+      await this.pause(200);
+      if (watched.kind !== 'gone') continue;
+      const listed = await this.store.list(KEYS.openPrefix, 'lease');
+      if (listed.kind !== 'ok') continue;
+      revision = listed.value.revision;
+      const events = listed.value.items.map((i) => ({
+        key: i.key,
+        deleted: false,
+        value: i.value,
+        version: i.version,
+      }));
+      this.owner.post(() => {
+        if (this.leader === leader) leader.onStoreEvents(events);
+      });
+    }
+  }
+
+  // ---- requests ----
+
+  /** Ready once jobs can be decided. Troubles that all nodes share don't make a node unhealthy. */
+  private health(): Answer {
+    if (!this.catalog) return failure(503, 'starting', 1);
+    return this.reach.cutOff() ? failure(503, 'cut off', 1) : { status: 200, body: '{}' };
+  }
+
+  private onReport(body: string, reply: Reply): void {
+    this.reportedAt = this.clock.now();
+    const leader = this.leader;
+    // Without a look at the report: between two leaders all workers ask every node each second.
+    if (!leader) {
+      const known = this.election.leader();
+      reply({ status: 421, body: encodeReportTo(known === this.settings.host_name ? null : known) });
+      return;
+    }
+    const decoded = decodeReport(body);
+    if (!decoded.ok) {
+      this.log.error({ reason: decoded.reason }, 'malformed report');
+      reply(failure(400, decoded.reason));
+      return;
+    }
+    // While the lease is not sure, work is kept alive for a bounded time; nothing new starts.
+    if (this.election.unsureForMs() > this.graceMs) {
+      reply({ status: 421, body: encodeReportTo(null) });
+      return;
+    }
+    const commands = leader.onReport(decoded.value);
+    if (commands === null) reply({ status: 421, body: encodeReportTo(null) });
+    else reply({ status: 200, body: encodeReportAnswer(leader.term, commands) });
+  }
+}
--- a/src/fleet/cloud.ts
+++ b/src/fleet/cloud.ts
@@ -1,5 +1,5 @@
 import type { Logger } from '../core/log.ts';
-import { HttpClient } from '../http/client.ts';
+import type { HttpSender } from '../http/client.ts';
 import { RateBudget } from '../store/budget.ts';
 import * as wire from '../wire/cloud.ts';
 
@@ -27,16 +27,16 @@
 
 /** The cloud by its published protocol, within its request rate. */
 export class CloudClient implements Cloud {
-  private readonly http: HttpClient;
+  private readonly http: HttpSender;
   private readonly budget: RateBudget;
 
   constructor(
-    address: string,
+    connect: (connections: number) => HttpSender,
     rps: number,
     now: () => number,
     private readonly log: Logger,
   ) {
-    this.http = new HttpClient(address, 6);
+    this.http = connect(6);
     // A fifth is left to the other controllers, which read the catalog when they start.
     this.budget = new RateBudget(rps * 0.8, now);
   }
--- a/src/http/client.ts
+++ b/src/http/client.ts
@@ -5,6 +5,12 @@
   /** Nothing came back in time, or the connection failed. `sent` is false only when it can't have arrived. */
   | { kind: 'silent'; sent: boolean; reason: string };
 
+/** Sends requests to one host. Requests are never repeated here. */
+export interface HttpSender {
+  send(method: string, path: string, body: string | null, timeoutMs: number): Promise<HttpResult>;
+  close(): void;
+}
+
 const MAX_BODY = 64 * 1024 * 1024;
 
 export function keepAliveAgent(socketsPerHost: number): Agent {
@@ -25,7 +31,7 @@
 }
 
 /** One host and port, with kept-alive connections. Requests are never repeated here. */
-export class HttpClient {
+export class HttpClient implements HttpSender {
   private readonly agent: Agent;
   private readonly host: string;
   private readonly port: number;
--- a/src/mesh/mesh.ts
+++ b/src/mesh/mesh.ts
@@ -1,5 +1,6 @@
 import { connect, createServer, type Server, type Socket } from 'node:net';
 import type { Logger } from '../core/log.ts';
+import type { Peers } from './ask.ts';
 import { encodeFrame, FrameReader, type MeshFrame, type MeshReply, type MeshRequest } from './frames.ts';
 
 interface Waiting {
@@ -95,7 +96,8 @@
 export type MeshHandler = (request: MeshRequest, reply: (reply: MeshReply) => void) => void;
 
 /** The controllers among themselves: requests and replies over kept-open connections. */
-export class Mesh {
+export class Mesh implements Peers {
+  readonly names: readonly string[];
   private readonly links = new Map<string, PeerLink>();
   private server: Server | null = null;
 
@@ -104,6 +106,7 @@
     private readonly handler: MeshHandler,
     private readonly log: Logger,
   ) {
+    this.names = peers.map((peer) => peer.name);
     for (const peer of peers) this.links.set(peer.name, new PeerLink(peer.address, log));
   }
 
@@ -139,21 +142,6 @@
     return this.links.get(peer)?.ask(request, timeoutMs) ?? Promise.resolve(null);
   }
 
-  /** Asks several at once; the first answer that is of use, or null once none is left. */
-  async askAny(
-    peers: readonly string[],
-    request: MeshRequest,
-    timeoutMs: number,
-    useful: (reply: MeshReply) => boolean,
-  ): Promise<MeshReply | null> {
-    const asked = peers.map(async (peer) => {
-      const reply = await this.ask(peer, request, timeoutMs);
-      if (!reply || !useful(reply)) throw new Error('no use');
-      return reply;
-    });
-    return Promise.any(asked).catch(() => null);
-  }
-
   close(): void {
     for (const link of this.links.values()) link.close();
     this.server?.close();
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -1,4 +1,4 @@
-import { HttpClient, type HttpResult } from '../http/client.ts';
+import type { HttpResult, HttpSender } from '../http/client.ts';
 import type { Logger } from '../core/log.ts';
 import type { Decoded } from '../wire/amounts.ts';
 import * as wire from '../wire/state.ts';
@@ -25,25 +25,26 @@
 
 /** The state service by its published protocol, within this node's share of its request budget. */
 export class StoreClient {
-  private readonly http: HttpClient;
-  private readonly watchHttp: HttpClient;
+  private readonly http: HttpSender;
+  private readonly watchHttp: HttpSender;
   /** Of its own, so that renewals of leases wait for nothing else. */
-  private readonly leaseHttp: HttpClient;
+  private readonly leaseHttp: HttpSender;
   private readonly budget: RateBudget;
   private readonly rps: number;
   /** When the service last served this node: an answer that is neither a refusal nor an outage's. */
   servedAt: number;
 
   constructor(
-    address: string,
+    /** Makes a client of the state service with so many connections. */
+    connect: (connections: number) => HttpSender,
     limits: { rps: number; nodes: number },
     private readonly now: () => number,
     private readonly log: Logger,
   ) {
     this.servedAt = now();
-    this.http = new HttpClient(address, 16);
-    this.watchHttp = new HttpClient(address, 4);
-    this.leaseHttp = new HttpClient(address, 4);
+    this.http = connect(16);
+    this.watchHttp = connect(4);
+    this.leaseHttp = connect(4);
     // The limit is shared by all nodes and a burst at one must not starve the leader's lease.
     this.rps = limits.rps * Math.min(0.5, OVERCOMMITTED / limits.nodes);
     this.budget = new RateBudget(this.rps, now);
--- a/src/workers/client.ts
+++ b/src/workers/client.ts
@@ -1,4 +1,4 @@
-import { HttpClient, passingAgent } from '../http/client.ts';
+import type { HttpSender } from '../http/client.ts';
 import { decodeReport, encodeOrders, type Command, type Report } from '../wire/worker.ts';
 import type { Machine } from './machine.ts';
 
@@ -9,16 +9,12 @@
 
 /** Speaks to workers at their own addresses. */
 export class WorkerClient {
-  private readonly agent;
-
-  /** `sockets`: how many connections to workers there may be at once. */
-  constructor(sockets: number) {
-    this.agent = passingAgent(sockets);
-  }
+  /** `network`: clients of workers that share a number of connections. */
+  constructor(private readonly network: { connect(address: string): HttpSender; close(): void }) {}
 
   async order(machine: Machine, token: number, commands: readonly Command[]): Promise<OrderResult> {
     const body = encodeOrders(token, machine.session, commands);
-    const client = new HttpClient(machine.id.address, this.agent);
+    const client = this.network.connect(machine.id.address);
     const result = await client.send('POST', '/orders', body, ORDER_TIMEOUT_MS);
     if (result.kind === 'silent') return result.sent ? 'silent' : 'not_sent';
     if (result.status !== 200 && result.status !== 409) return 'not_sent';
@@ -28,7 +24,7 @@
   }
 
   async inspect(machine: Machine): Promise<Report | null> {
-    const client = new HttpClient(machine.id.address, this.agent);
+    const client = this.network.connect(machine.id.address);
     const result = await client.send('GET', '/inspect', null, INSPECT_TIMEOUT_MS);
     if (result.kind !== 'answer' || result.status !== 200) return null;
     const report = decodeReport(result.body);
@@ -36,6 +32,6 @@
   }
 
   close(): void {
-    this.agent.destroy();
+    this.network.close();
   }
 }
