Bad submissions: refused wherever that can be known, and decoded strictly

Cause: a controller that the state service refused alone, or that did not know the machine types yet, answered 503 to submissions that could be refused for good; empty names and amounts beyond any sum's precision were accepted. Change: before 400 or 422 the id is looked up here or, failing that, by another controller; the team's reasons are told without a catalog; new submissions are decoded by a stricter form than stored records, which stay readable.

--- a/src/jobs/door.ts
+++ b/src/jobs/door.ts
@@ -78,10 +78,11 @@
     if (!decoded.ok) return this.unlessKnown(id, failure(400, decoded.reason));
     const job = decoded.value;
     const catalog = this.deps.catalog();
-    if (!catalog) return this.unlessKnown(id, this.busy('machine types not known yet'));
     const team = this.deps.teams.find((t) => t.name === job.team);
+    // An unknown team or a limit that is too small needs no machine types to be told.
     const never = impossible(job, team, catalog);
     if (never !== null) return this.unlessKnown(id, failure(422, never));
+    if (!catalog) return this.unlessKnown(id, this.busy('machine types not known yet'));
     const created = await this.create(job);
     if (created.kind === 'created') return this.found(id, PENDING, 201);
     if (created.kind === 'status') return this.found(id, created.status);
@@ -93,7 +94,7 @@
 
   /** A known job is answered with its state, whatever else was sent with its id. */
   private async unlessKnown(id: string, otherwise: Answer): Promise<Answer> {
-    const looked = await this.look(id);
+    const looked = await this.lookHereOrElsewhere(id);
     if (looked.kind === 'status') return this.found(id, looked.status);
     return looked.kind === 'missing' ? otherwise : this.busy('the state service can not be reached');
   }
@@ -140,6 +141,10 @@
   private async lookEverywhere(id: string): Promise<Looked> {
     const answer = await this.deps.askLeader({ kind: 'poll', jobId: id }, this.deps.options.users.forward_ms);
     if (answer?.kind === 'status') return { kind: 'status', status: answer };
+    return this.lookHereOrElsewhere(id);
+  }
+
+  private async lookHereOrElsewhere(id: string): Promise<Looked> {
     const looked = await this.look(id);
     if (looked.kind !== 'unable') return looked;
     // Perhaps the state service refuses this node alone; what others find is as fresh.
--- a/src/wire/user.ts
+++ b/src/wire/user.ts
@@ -39,6 +39,30 @@
   dueS: orNull(amount),
 });
 
+/** Larger amounts are no amounts of anything, and sums over tasks and milliseconds would lose their precision. */
+const submittedAmount = amount.check(z.maximum(Number.MAX_SAFE_INTEGER));
+const submittedName = z.string().check(z.minLength(1));
+
+/**
+ * What a new submission must hold. Stricter than the stored form: a record that an earlier version accepted must
+ * stay readable, whatever later versions ask of new ones.
+ */
+const wireSubmission = z.extend(wireJob, {
+  batch: submittedName,
+  crew: submittedName,
+  recipe: submittedName,
+  ovens: orNull(z.array(submittedName)),
+  yard: orNull(submittedName),
+  cores: submittedAmount,
+  accelerators: submittedAmount,
+  memGb: submittedAmount,
+  imageGb: submittedAmount,
+  bakeS: submittedAmount,
+  proofS: submittedAmount,
+  coolS: submittedAmount,
+  dueS: orNull(submittedAmount),
+});
+
 /** The user's request in the form in which it is also kept in the store. */
 export type StoredJob = z.infer<typeof wireJob>;
 
@@ -97,10 +121,12 @@
   return decoded.ok ? { ok: true, value: toRequest(decoded.value) } : decoded;
 }
 
+/** Decodes a user's submission; a failure names the first field that is missing or invalid. */
 export function decodeJob(text: string): Decoded<JobRequest> {
-  return mapped(decodeText(wireJob, text));
+  return mapped(decodeText(wireSubmission, text));
 }
 
+/** Decodes the record of a job that was accepted, possibly by an earlier version. */
 export function decodeStoredJob(raw: unknown): Decoded<JobRequest> {
   return mapped(decodeValue(wireJob, raw));
 }
--- /dev/null
+++ b/test/jobs/admission.test.ts
@@ -0,0 +1,120 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import fc from 'fast-check';
+import { Catalog } from '../../src/fleet/catalog.ts';
+import { impossible, type TeamLimits } from '../../src/jobs/admission.ts';
+import { decodeJob, type JobRequest } from '../../src/wire/user.ts';
+import { BIG, SEED } from '../helpers.ts';
+import { JOB } from '../wire/sample.ts';
+import { validSubmission } from '../wire/submissions.ts';
+
+const TEAM: TeamLimits = { name: 'vision', cpus: 0, gpus: 8, cpusMax: 100, gpusMax: 16 };
+/** `big` (8 CPUs, 4 GPUs, 64 GB) in both zones; `flat` (32 CPUs, 16 GB, no GPU) in zone b alone. */
+const FLAT = { ...BIG, name: 'flat', cpus: 32, gpus: 0, memory: 16, zones: ['b'] };
+const CATALOG = new Catalog([BIG, FLAT]);
+
+function jobOf(over: object): JobRequest {
+  const read = decodeJob(
+    JSON.stringify({ ...JOB, ovens: null, cores: 1, accelerators: 0, memGb: 1, loaves: 1, ...over }),
+  );
+  assert.ok(read.ok, read.ok ? '' : read.reason);
+  return read.value;
+}
+
+/** Amounts whose sums are exact. */
+const quarters = (amount: number): number => Math.round(amount * 4) / 4;
+
+const verdict = (over: object, catalog: Catalog | null = CATALOG): string | null =>
+  impossible(jobOf(over), TEAM, catalog);
+
+test('a job that fits no allowed machine type can never run', () => {
+  const cases: [object, boolean][] = [
+    [{ cores: 32 }, true],
+    [{ cores: 32.5 }, false],
+    [{ memGb: 64 }, true],
+    [{ memGb: 65 }, false],
+    [{ accelerators: 4 }, true],
+    [{ accelerators: 5 }, false],
+    // Each amount fits some type, but no type has them all.
+    [{ cores: 32, memGb: 64 }, false],
+    [{ cores: 32, accelerators: 1 }, false],
+    // Of allowed types only.
+    [{ cores: 32, ovens: ['flat'] }, true],
+    [{ cores: 32, ovens: ['big'] }, false],
+    [{ ovens: ['no-such', 'big'] }, true],
+    [{ ovens: ['no-such'] }, false],
+    [{ ovens: [] }, false],
+    // In a zone that has the type.
+    [{ yard: 'a' }, true],
+    [{ yard: 'c' }, false],
+    [{ yard: 'b', ovens: ['flat'] }, true],
+    [{ yard: 'a', ovens: ['flat'] }, false],
+    [{ yard: 'a', cores: 32 }, false],
+    // Ordinary machines of each type can be rented: spot is a permission, never a need.
+    [{ borrowed: false }, true],
+  ];
+  for (const [over, runs] of cases) assert.equal(verdict(over) === null, runs, JSON.stringify(over));
+});
+
+test("one task of an array, and all tasks of a gang, must fit the team's limit", () => {
+  const cases: [object, boolean][] = [
+    [{ shape: 'array', loaves: 100_000, accelerators: 4 }, true],
+    [{ shape: 'ensemble', loaves: 4, accelerators: 4 }, true],
+    [{ shape: 'ensemble', loaves: 5, accelerators: 4 }, false],
+    [{ shape: 'ensemble', loaves: 12, cores: 8 }, true],
+    [{ shape: 'ensemble', loaves: 13, cores: 8 }, false],
+    // Sixteen, in tenths: sums of decimals are not held against anybody.
+    [{ shape: 'ensemble', loaves: 160, cores: 0.1, accelerators: 0.1 }, true],
+  ];
+  for (const [over, runs] of cases) assert.equal(verdict(over) === null, runs, JSON.stringify(over));
+  assert.equal(impossible(jobOf({}), undefined, CATALOG), 'unknown team');
+  const unlimited = { ...TEAM, cpusMax: 0, gpusMax: 0 };
+  const huge = jobOf({ shape: 'ensemble', loaves: 100_000, accelerators: 4 });
+  assert.equal(impossible(huge, unlimited, CATALOG), null);
+});
+
+test('nothing is refused for want of capacity, which is not published', () => {
+  assert.equal(verdict({ shape: 'ensemble', loaves: 16, samePlace: true, accelerators: 1 }), null);
+  assert.equal(verdict({ shape: 'ensemble', loaves: 3, apart: true, yard: 'a' }), null);
+});
+
+test("without a catalog the team's reasons are told, and only those", () => {
+  assert.notEqual(verdict({ shape: 'ensemble', loaves: 5, accelerators: 4 }, null), null);
+  assert.equal(impossible(jobOf({}), undefined, null), 'unknown team');
+  assert.equal(verdict({ cores: 1000, shape: 'ensemble' }, null) !== null, true);
+  assert.equal(verdict({ memGb: 1000, ovens: ['no-such'] }, null), null);
+});
+
+test('generated jobs are refused exactly when no type fits or the team is too small', () => {
+  fc.assert(
+    fc.property(
+      validSubmission,
+      fc.option(fc.constantFrom('a', 'b', 'c')),
+      fc.option(fc.subarray(['big', 'flat', 'x'])),
+      (wire, yard, ovens) => {
+        const scaled = {
+          ...wire,
+          cores: quarters(Number(wire['cores']) / 25),
+          memGb: quarters(Number(wire['memGb']) / 100),
+          accelerators: quarters(Number(wire['accelerators']) / 10),
+          loaves: 1 + (Number(wire['loaves']) % 12),
+          yard,
+          ovens,
+        };
+        const read = decodeJob(JSON.stringify(scaled));
+        assert.ok(read.ok);
+        const job = read.value;
+        const together = job.gang ? job.tasks : 1;
+        const withinLimits = job.cpus * together <= 100 && job.gpus * together <= 16;
+        const offered = [BIG, FLAT]
+          .filter((type) => ovens === null || ovens.includes(type.name))
+          .filter((type) => yard === null || type.zones.includes(yard));
+        const runs =
+          withinLimits &&
+          offered.some((t) => t.cpus >= job.cpus && t.gpus >= job.gpus && t.memory >= job.memory);
+        assert.equal(impossible(job, TEAM, CATALOG) === null, runs);
+      },
+    ),
+    { seed: SEED, numRuns: 500 },
+  );
+});
