An attempt is not cleared while an answer with its launch may be on its way

Cause: a launch goes both straight to the worker and with the answer to its report. If the direct one is carried out first, the task is refused (full, busy) or stopped, and a further direct order clears the attempt before the slower answer arrives (up to 4 s later, over slow links), the launch in the answer starts the attempt anew, though it was given up and may run elsewhere or its job is cancelled. Change: launches sent with an answer are noted on the attempt; it is cleared only after the worker's next report, which is sent once that answer is settled. Test: workers/reconcile.test.ts fails without the note.

--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -17,7 +17,7 @@
 import type { JobStatus } from '../wire/user.ts';
 import type { Command, Report } from '../wire/worker.ts';
 import { Machine, type MachineIdentity } from '../workers/machine.ts';
-import { applyReport, commandsFor, isNewer, loseAll } from '../workers/reconcile.ts';
+import { applyReport, commandsFor, isNewer, loseAll, noteAnswer } from '../workers/reconcile.ts';
 import { Roster } from '../workers/roster.ts';
 
 const QUICK_IMAGES = 64;
@@ -258,7 +258,9 @@
       this.answeredEarly = this.now();
       return [];
     }
-    return commandsFor(machine, this.orders.mayStartOn(machine));
+    const commands = commandsFor(machine, this.orders.mayStartOn(machine));
+    noteAnswer(machine, commands);
+    return commands;
   }
 
   private takeReport(report: Report, direct: boolean): Machine | null {
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -21,6 +21,8 @@
   doubt: boolean;
   /** Direct launches on their way. */
   underWay: number;
+  /** The answer to the worker's last report carried a launch, and may still be on its way. */
+  inAnswer: boolean;
   assignedAt: number;
   runningSince: number | null;
 }
@@ -167,6 +169,7 @@
     stopGraceS: null,
     doubt: false,
     underWay: 0,
+    inAnswer: false,
     assignedAt: now,
     runningSince: null,
   };
--- a/src/workers/reconcile.ts
+++ b/src/workers/reconcile.ts
@@ -61,6 +61,8 @@
   machine.token = Math.max(machine.token, report.token);
   machine.heardAt = ctx.now;
   machine.takenAt = report.noticeS === null ? null : ctx.now + report.noticeS * 1000;
+  // A worker has one report in flight: the answers to all earlier ones were carried out or given up.
+  if (!direct) for (const a of machine.attempts.values()) a.inAnswer = false;
 
   const reported = new Set<string>();
   for (const t of report.tasks) {
@@ -102,9 +104,21 @@
   return events;
 }
 
+/**
+ * Notes the launches that the answer to a report carries. A direct order can overtake that answer: a task that was
+ * refused and forgotten meanwhile would be started anew by it, while it runs elsewhere.
+ */
+export function noteAnswer(machine: Machine, commands: readonly Command[]): void {
+  for (const c of commands) {
+    if (c.op !== 'start') continue;
+    const a = machine.attempts.get(attemptKey(c.jobId, c.task, c.attempt));
+    if (a) a.inAnswer = true;
+  }
+}
+
 /** May the worker forget this ended attempt? Not while a launch may arrive, nor before its end is durable. */
 export function mayForget(a: Attempt): boolean {
-  if (a.phase !== 'ended' || a.doubt || a.underWay > 0) return false;
+  if (a.phase !== 'ended' || a.doubt || a.underWay > 0 || a.inAnswer) return false;
   return a.cause !== 'done' || a.job === null || a.job.isDurable(a.task);
 }
 
--- a/test/workers/reconcile.test.ts
+++ b/test/workers/reconcile.test.ts
@@ -5,7 +5,7 @@
 import { decodeStoredJob } from '../../src/wire/user.ts';
 import type { Report, ReportedTask } from '../../src/wire/worker.ts';
 import { attemptKey, Machine, newAttempt, type Attempt } from '../../src/workers/machine.ts';
-import { applyReport, commandsFor, isNewer, mayForget } from '../../src/workers/reconcile.ts';
+import { applyReport, commandsFor, isNewer, mayForget, noteAnswer } from '../../src/workers/reconcile.ts';
 import { SEED } from '../helpers.ts';
 import { JOB } from '../wire/sample.ts';
 
@@ -98,6 +98,25 @@
   assert.equal(mayForget(a), false);
 });
 
+test('an attempt is not forgotten while an answer with its launch may still be on its way', () => {
+  // Forgotten by a direct order that overtakes the answer, the launch in the answer would start it anew.
+  const { machine, job, launch } = setup();
+  const ctx = { now: 1, jobOf: () => job };
+  applyReport(machine, report(1, 1, []), false, ctx);
+  const a = launch(0);
+  noteAnswer(machine, commandsFor(machine, true));
+  const refused = [reported(0, { phase: 'ended', cause: 'full' })];
+  applyReport(machine, report(1, 2, refused), true, ctx);
+  assert.ok(a.released);
+  assert.deepEqual(commandsFor(machine, true), [], 'known from the answer to an order only');
+  applyReport(machine, report(1, 3, refused), false, ctx);
+  assert.equal(
+    commandsFor(machine, true)[0]?.op,
+    'forget',
+    'its next report shows that the answer is settled',
+  );
+});
+
 test('whatever the order in which reports arrive, only the newest counts', () => {
   const step = fc.record({ session: fc.integer({ min: 1, max: 3 }), seq: fc.integer({ min: 1, max: 30 }) });
   fc.assert(
