Copies of old reports bring nothing back to a machine that was given up unheard

Cause: a machine of the roster that a new leader never heard is given up once its lease is surely over, and from then on counts as accounted for. A copy of an old report (kept for the next leader, or well over a lease late) was then taken for news of a first session: its tasks were held as if they ran. Change: once a machine is accounted for, only reports with our own token count.

--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -267,7 +267,7 @@
     const now = this.now();
     const machine = this.cluster.machines.get(report.machine) ?? this.newcomer(report);
     if (!machine) return null;
-    if (!isNewer(machine, report)) {
+    if (!isNewer(machine, report) || this.writtenOff(machine, report)) {
       // Sent before the newest message that was heard, so the lease that its answer renews counts from before that.
       if (!direct) machine.answeredAt = Math.max(machine.answeredAt, machine.heardAt);
       return machine;
@@ -292,6 +292,15 @@
     return machine;
   }
 
+  /**
+   * Once nothing that an earlier leader started can be on a machine, a report without our token is a copy from
+   * before, or of a worker that has lost everything: it shows no task that still counts. Of a machine that was given
+   * up unheard, such a copy once brought back tasks that tied their job to the wrong zone.
+   */
+  private writtenOff(machine: Machine, report: Report): boolean {
+    return machine.accounted && report.token !== this.term;
+  }
+
   /**
    * A machine nobody here knows. With a token from before, it is a new worker that has seen no answer of ours
    * yet, and will report again once it has; or a copy of an old report, of a machine that is gone: what holds
--- /dev/null
+++ b/test/core/harness.ts
@@ -0,0 +1,220 @@
+import { defaultOptions } from '../../src/config/options.ts';
+import type { Settings } from '../../src/config/settings.ts';
+import { Intern } from '../../src/core/intern.ts';
+import { Leader } from '../../src/core/leader.ts';
+import { Catalog } from '../../src/fleet/catalog.ts';
+import { openValue } from '../../src/jobs/records.ts';
+import { KEYS } from '../../src/store/keys.ts';
+import type { LeaderWriter, WriteJob } from '../../src/store/writer.ts';
+import type { Item } from '../../src/wire/state.ts';
+import { decodeStoredJob, type JobRequest } from '../../src/wire/user.ts';
+import type { Command, Report, ReportedTask } from '../../src/wire/worker.ts';
+import type { OrderResult } from '../../src/workers/client.ts';
+import type { Machine } from '../../src/workers/machine.ts';
+import { SETTINGS } from '../config/sample.ts';
+import { BIG, FakeClock, silent } from '../helpers.ts';
+import { JOB } from '../wire/sample.ts';
+
+export const TERM = 7;
+/** Time for which a leader that isn't sure still answers reports. */
+const GRACE_MS = 6000;
+
+/** An order on its way, to be answered by the test. */
+export interface SentOrder {
+  machine: string;
+  session: number;
+  commands: Command[];
+  answer: (result: OrderResult) => void;
+}
+
+/** A worker whose tasks run from the moment of their launch until the test ends them. */
+export class FakeWorker {
+  readonly tasks = new Map<string, ReportedTask>();
+  session = 1;
+  seq = 0;
+  token = TERM;
+
+  constructor(
+    readonly name: string,
+    readonly zone: string,
+  ) {}
+
+  put(t: ReportedTask): this {
+    this.tasks.set(`${t.jobId}/${t.task}#${t.attempt}`, t);
+    return this;
+  }
+
+  report(): Report {
+    this.seq += 1;
+    const { session, seq, token } = this;
+    return reportOf(this.name, this.zone, { session, seq, token }, [...this.tasks.values()]);
+  }
+
+  execute(commands: readonly Command[]): Report {
+    for (const c of commands) {
+      const key = `${c.jobId}/${c.task}#${c.attempt}`;
+      const known = this.tasks.get(key);
+      if (c.op === 'start' && !known) this.put(task(c.jobId, c.task, c.attempt));
+      if (c.op === 'stop' && known) this.put({ ...known, phase: 'ended', cause: 'stopped' });
+      if (c.op === 'forget' && known?.phase === 'ended') this.tasks.delete(key);
+    }
+    return this.report();
+  }
+
+  /** Its tasks of a job that run. */
+  running(jobId: string): number[] {
+    return [...this.tasks.values()]
+      .filter((t) => t.jobId === jobId && t.phase === 'running')
+      .map((t) => t.task);
+  }
+}
+
+/** One leader with fakes for all that it reaches; what it writes is durable at once. */
+export class LeaderHarness {
+  readonly clock = new FakeClock();
+  readonly orders: SentOrder[] = [];
+  /** Workers that carry orders out at once; orders to all others wait for the test. */
+  readonly workers = new Map<string, FakeWorker>();
+  readonly inspected: { machine: string; answer: (report: Report | null) => void }[] = [];
+  readonly returned: string[] = [];
+  sure = true;
+  cloudUp = true;
+  superseded = 0;
+  readonly leader: Leader;
+
+  constructor() {
+    this.leader = new Leader({
+      host: {
+        clock: this.clock,
+        log: silent,
+        surelyLeading: () => this.sure,
+        order: (machine: Machine, commands) =>
+          new Promise((answer) => {
+            this.orders.push({ machine: machine.name, session: machine.session, commands, answer });
+            const worker = this.workers.get(machine.name);
+            if (worker) answer({ report: worker.execute(commands), executed: true });
+          }),
+        inspect: (machine) =>
+          new Promise((answer) => {
+            this.inspected.push({ machine: machine.name, answer });
+          }),
+        final: () => undefined,
+        isFinal: () => false,
+        post: (command) => {
+          command();
+        },
+        pause: () => new Promise(() => undefined),
+        superseded: () => {
+          this.superseded += 1;
+        },
+        hearsNobody: () => undefined,
+        lagMs: () => 0,
+      },
+      settings: SETTINGS as Settings,
+      options: defaultOptions(),
+      teams: SETTINGS.settings.teams.map((t) => ({
+        name: t.name,
+        cpus: t.cpus,
+        gpus: t.gpus,
+        cpusMax: t.cpus_max,
+        gpusMax: t.gpus_max,
+      })),
+      zones: new Intern(['a', 'b']),
+      catalog: new Catalog([BIG]),
+      cloud: {
+        ready: () => true,
+        catalog: () => Promise.resolve(null),
+        rent: () => Promise.resolve({ kind: 'no_capacity' }),
+        giveBack: (names) => {
+          if (this.cloudUp) this.returned.push(...names);
+          return Promise.resolve(this.cloudUp);
+        },
+        list: () => Promise.resolve([]),
+      },
+      writer: {
+        backlog: 0,
+        push: (job: WriteJob) => {
+          job.done();
+        },
+        stop: () => undefined,
+      } as unknown as LeaderWriter,
+      term: TERM,
+      graceMs: GRACE_MS,
+    });
+  }
+
+  /** The state as an earlier leader left it: all tasks of the jobs may have been started. */
+  load(jobs: readonly JobRequest[], machines: readonly (readonly [name: string, zone: string])[]): void {
+    const item = (key: string, value: unknown): Item => ({ key, value, version: 1, lease: null }) as Item;
+    const m = machines.map(([name, zone]) => [name, `${name}:9000`, BIG.name, zone, false]);
+    this.leader.load({
+      open: jobs.map((job) => item(KEYS.open(job.id), openValue(job, this.clock.wall()))),
+      begun: jobs.map((job) => item(KEYS.begun(job.id), { n: job.tasks })),
+      finished: [],
+      roster: m.length > 0 ? [item(KEYS.machine(0), { m })] : [],
+    });
+  }
+
+  worker(name: string, zone: string): FakeWorker {
+    const worker = new FakeWorker(name, zone);
+    this.workers.set(name, worker);
+    return worker;
+  }
+
+  /** Lets time pass: each worker reports once a second, and all answers are settled. */
+  async pass(seconds: number): Promise<void> {
+    for (let step = 0; step < seconds * 5; step++) {
+      this.clock.at += 200;
+      for (const w of this.workers.values()) {
+        const commands = step % 5 === 0 ? this.leader.onReport(w.report()) : null;
+        if (commands) w.execute(commands);
+      }
+      this.leader.afterBatch();
+      await settle();
+    }
+  }
+}
+
+export function settle(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
+
+/** A job of team `other`, which has no limit, for machines of the type BIG; `over` in the words of the wire. */
+export function jobOf(id: string, over: Record<string, unknown> = {}): JobRequest {
+  const decoded = decodeStoredJob({
+    ...JOB,
+    ...{
+      uid: id,
+      crew: 'other',
+      shape: 'array',
+      loaves: 4,
+      cores: 2,
+      accelerators: 0,
+      memGb: 4,
+      ovens: null,
+    },
+    ...{ yard: null, samePlace: false, apart: false, borrowed: false, bakeS: 300, proofS: 0, coolS: 0 },
+    ...over,
+  });
+  if (!decoded.ok) throw new Error(decoded.reason);
+  return decoded.value;
+}
+
+export function task(
+  jobId: string,
+  number: number,
+  attempt: number,
+  over: Partial<ReportedTask> = {},
+): ReportedTask {
+  return { jobId, task: number, attempt, phase: 'running', cause: null, saved: false, ...over };
+}
+
+export function reportOf(
+  machine: string,
+  zone: string,
+  order: { session: number; seq: number; token: number },
+  tasks: ReportedTask[] = [],
+): Report {
+  const place = { machine, address: `${machine}:9000`, machineType: BIG.name, zone, spot: false };
+  return { ...place, ...order, noticeS: null, tasks };
+}
--- /dev/null
+++ b/test/core/leader.test.ts
@@ -0,0 +1,40 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import { jobOf, LeaderHarness, reportOf, task, TERM } from './harness.ts';
+
+const OLD = TERM - 1;
+
+test('a copy of an old report of a machine that was given up unheard ties no job to its zone', async () => {
+  const h = new LeaderHarness();
+  h.cloudUp = false;
+  const job = jobOf('req-000001', { loaves: 12, samePlace: true });
+  const other = jobOf('req-000002', { loaves: 1 });
+  h.load(
+    [job, other],
+    [
+      ['n-lost', 'a'],
+      ['n-a', 'a'],
+      ['n-b', 'b'],
+    ],
+  );
+  // An earlier leader left two tasks in zone b; nothing is heard of the lost machine until its lease is over.
+  const a = h.worker('n-a', 'a').put(task(other.id, 0, 2));
+  const b = h
+    .worker('n-b', 'b')
+    .put(task(job.id, 0, 1))
+    .put(task(job.id, 1, 1));
+  await h.pass(26);
+  assert.deepEqual(b.running(job.id), [0, 1], 'the lost machine may hold any of the others');
+  await h.pass(2);
+  assert.equal(b.running(job.id).length, 4);
+  const copy = reportOf('n-lost', 'a', { session: 3, seq: 40, token: OLD }, [task(job.id, 11, 1)]);
+  assert.deepEqual(h.leader.onReport(copy), []);
+  // The tasks end one by one, so that there are always others in zone b.
+  for (let round = 0; round < 6; round++) {
+    const first = [...b.tasks.values()].find((t) => t.phase === 'running')!;
+    b.put({ ...first, phase: 'ended', cause: 'done' });
+    await h.pass(3);
+    assert.equal(a.running(job.id).length, 0);
+    assert.equal(b.running(job.id).length, 4);
+  }
+});
