--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -17,7 +17,7 @@
 import type { JobStatus } from '../wire/user.ts';
 import type { Command, Report } from '../wire/worker.ts';
 import { Machine, type MachineIdentity } from '../workers/machine.ts';
-import { applyReport, commandsFor, isNewer, loseAll } from '../workers/reconcile.ts';
+import { applyReport, commandsFor, isNewer, loseAll, noteAnswer } from '../workers/reconcile.ts';
 import { Roster } from '../workers/roster.ts';
 
 const QUICK_IMAGES = 64;
@@ -258,14 +258,16 @@
       this.answeredEarly = this.now();
       return [];
     }
-    return commandsFor(machine, this.orders.mayStartOn(machine));
+    const commands = commandsFor(machine, this.orders.mayStartOn(machine));
+    noteAnswer(machine, commands);
+    return commands;
   }
 
   private takeReport(report: Report, direct: boolean): Machine | null {
     const now = this.now();
     const machine = this.cluster.machines.get(report.machine) ?? this.newcomer(report);
     if (!machine) return null;
-    if (!isNewer(machine, report)) {
+    if (!isNewer(machine, report) || this.writtenOff(machine, report)) {
       // Sent before the newest message that was heard, so the lease that its answer renews counts from before that.
       if (!direct) machine.answeredAt = Math.max(machine.answeredAt, machine.heardAt);
       return machine;
@@ -290,6 +292,15 @@
     return machine;
   }
 
+  /**
+   * Once nothing that an earlier leader started can be on a machine, a report without our token is a copy from
+   * before, or of a worker that has lost everything: it shows no task that still counts. Of a machine that was given
+   * up unheard, such a copy once brought back tasks that tied their job to the wrong zone.
+   */
+  private writtenOff(machine: Machine, report: Report): boolean {
+    return machine.accounted && report.token !== this.term;
+  }
+
   /**
    * A machine nobody here knows. With a token from before, it is a new worker that has seen no answer of ours
    * yet, and will report again once it has; or a copy of an old report, of a machine that is gone: what holds
