A job bound to one zone waits while its tasks may be in two

Cause: the zone of a samePlace job was that of the first of its tasks in the list. If news of an older task in another zone is held beside the tasks that run, the choice hung on the order in which they were learned. Change: such a group takes no part in the round, which neither places, rents nor makes room for it, until one zone is left. Test: scheduling/round.test.ts.

--- a/src/scheduling/round.ts
+++ b/src/scheduling/round.ts
@@ -98,6 +98,14 @@
   return ordered.filter((_, at) => at < first || (at - first - from + others) % others < places);
 }
 
+/**
+ * Tasks of a group that must stay together may be in two zones: some of them are old news, such as a copy of a
+ * report from before a takeover. Until it is known which, no zone is right, and no room is made for the group.
+ */
+function heldInTwoZones(group: GroupView): boolean {
+  return group.oneZone && group.liveByZone.size > 1;
+}
+
 const network = new FlowNetwork();
 
 /**
@@ -125,6 +133,7 @@
   };
   // What a team's limit keeps waiting must not use up the places in the round.
   const able = allGroups.filter((g) => {
+    if (heldInTwoZones(g)) return false;
     if (wantedOf(g, teamRoom) > 0) return true;
     if (!g.expected) result.unplaced.set(g.job, g.pending);
     return false;
--- a/test/scheduling/round.test.ts
+++ b/test/scheduling/round.test.ts
@@ -105,6 +105,21 @@
   );
 });
 
+test('a group that must stay together waits while its tasks may be in two zones', () => {
+  const machines = [machine({ machine: 0, zone: 0 }), machine({ machine: 1, zone: 1 })];
+  const place = (liveByZone: Map<number, number>) =>
+    runRound([group({ oneZone: true, liveByZone })], machines, [option()], FREE_TEAM, sizeOf, OPTIONS);
+  const one = place(new Map([[1, 3]]));
+  assert.deepEqual(one.placements, [{ job: 0, machine: 1, count: 1 }]);
+  const two = place(
+    new Map([
+      [0, 1],
+      [1, 3],
+    ]),
+  );
+  assert.deepEqual([two.placements.length, two.rents.size, two.unplaced.size], [0, 0, 0]);
+});
+
 test('the more urgent group gets the room that is there, though both could rent', () => {
   // Without urgency between room now and room to come the choice was arbitrary, and tasks were stopped for it.
   const groups = [group({ job: 0, priority: 1 }), group({ job: 1, priority: 2 })];
