A higher token in any direct answer ends a leadership; late words end only their own

Cause: answers to questions were taken in without a look at their token, so a deposed leader that only asks went on. And an answer that came after a leadership had ended called for the end of whatever the node leads then: a node that leads again within the 2.5 s of an order lost its new lead, and ten more seconds. Change: one place takes in all direct answers: none once the leadership is over, a higher token ends it; the service ends only the leadership that the word is about. Test: core/leader.test.ts.

--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -76,8 +76,7 @@
     this.endings = new Endings(this.cluster, deps);
     this.attempts = new Attempts(this.cluster, this.gangs, this.endings, deps);
     this.orders = new Orders(this.cluster, deps, (report) => {
-      // Only of machines that are still there: an answer can be older than the machine's end.
-      if (!this.stopped && this.cluster.machines.has(report.machine)) this.takeReport(report, true);
+      this.onDirectReport(report);
     });
     this.rounds = new Rounds(this.cluster, this.fleet, views, this.attempts, deps);
     this.watch = new Watch(
@@ -263,6 +262,17 @@
     return commands;
   }
 
+  /** What a worker answered to orders or to a question. Answers still come after the end of this leadership. */
+  private onDirectReport(report: Report): void {
+    if (this.stopped) return;
+    if (report.token > this.term) {
+      this.deps.host.superseded();
+      return;
+    }
+    // Only of machines that are still there: an answer can be older than the machine's end.
+    if (this.cluster.machines.has(report.machine)) this.takeReport(report, true);
+  }
+
   private takeReport(report: Report, direct: boolean): Machine | null {
     const now = this.now();
     const machine = this.cluster.machines.get(report.machine) ?? this.newcomer(report);
--- a/src/core/orders.ts
+++ b/src/core/orders.ts
@@ -62,8 +62,7 @@
       if (a) launched.push(a);
     }
     for (const a of launched) a.underWay += 1;
-    const { host, term } = this.deps;
-    const { session } = m;
+    const { host } = this.deps;
     void host.order(m, commands).then((result) => {
       host.post(() => {
         const now = host.clock.now();
@@ -79,11 +78,7 @@
         }
         m.pushAfter = now + (result.executed ? DONE_PAUSE_MS : REFUSED_PAUSE_MS);
         m.heardUs(now);
-        if (result.report.token > term) {
-          host.superseded();
-          return;
-        }
-        if (result.report.session >= session) this.take(result.report);
+        this.take(result.report);
       });
     });
   }
--- a/src/core/service.ts
+++ b/src/core/service.ts
@@ -331,6 +331,11 @@
     return this.election.current() === held;
   }
 
+  /** Ends this leadership; a word that comes late must not end a newer one of the same node. */
+  private endLeadership(held: Leadership, reason: string): void {
+    if (this.isCurrent(held)) this.election.stepDown(reason);
+  }
+
   private async lead(held: Leadership): Promise<void> {
     const pause = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
     while (!this.catalog && this.isCurrent(held)) await pause(50);
@@ -349,7 +354,7 @@
           return read.kind === 'ok' ? (read.value?.version ?? 0) : null;
         },
         lost: (reason) => {
-          this.election.stepDown(reason);
+          this.endLeadership(held, reason);
         },
         pause,
       },
@@ -375,7 +380,7 @@
         },
         pause,
         superseded: () => {
-          this.election.stepDown('a worker has seen a higher token');
+          this.endLeadership(held, 'a worker has seen a higher token');
         },
         lagMs: () => this.lag.ms(),
         hearsNobody: () => {
--- a/test/core/leader.test.ts
+++ b/test/core/leader.test.ts
@@ -38,3 +38,24 @@
     assert.equal(b.running(job.id).length, 4);
   }
 });
+
+test('a higher token in the answer to a question ends the leadership, one that comes after its end does not', async () => {
+  // A node that leads again within a second once lost its new lead to what it heard about its old one.
+  const h = new LeaderHarness();
+  h.load([], [['n-1', 'a']]);
+  await h.pass(5);
+  const asked = h.inspected[0]!;
+  asked.answer(reportOf('n-1', 'a', { session: 1, seq: 1, token: TERM + 1 }));
+  await h.pass(1);
+  assert.equal(h.superseded, 1);
+
+  const ended = new LeaderHarness();
+  ended.load([], [['n-1', 'a']]);
+  ended.leader.onReport(reportOf('n-1', 'a', { session: 1, seq: 1, token: OLD }));
+  await ended.pass(6);
+  ended.leader.stop();
+  const order = ended.orders[0]!;
+  order.answer({ report: reportOf('n-1', 'a', { session: 1, seq: 2, token: TERM + 1 }), executed: false });
+  await ended.pass(1);
+  assert.equal(ended.superseded, 0);
+});
