A leader that is not sure to lead returns no machine

Cause: a controller that loses the state service, its peers and the workers goes on as an unsure leader. It found all machines silent, and after a lease asked the cloud to take them back. Under a cut those requests are held back and carried out when it ends (or reach a cloud that was never cut off), while the next leader runs tasks on these machines. Change: unsure, it neither judges silence nor sends returns; both wait until it is sure again, if ever. Test: core/leader.test.ts.

--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -61,6 +61,7 @@
         host.post(command);
       },
       pause: (ms) => host.pause(ms),
+      surelyLeading: () => host.surelyLeading(),
       returning: (names) => {
         this.markReturning(names);
       },
--- a/src/core/watch.ts
+++ b/src/core/watch.ts
@@ -122,6 +122,8 @@
     const quietMs = this.quietMs(m, now);
     if (quietMs > this.reportMs * 1.5 || m.unheard > 0) this.orders.probe(m);
     else m.probesFailed = 0;
+    // Another leader may hear it: its silence here says nothing.
+    if (!this.deps.host.surelyLeading()) return;
     // Many silent machines of one zone point to a cut, which may end; single ones have died, or hear nothing.
     if (quietMs > silentMs && m.probesFailed > 0 && !m.returning && (!patient || over)) {
       const deaf = now - m.heardAt < silentMs;
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -16,6 +16,8 @@
   term: number;
   post(command: () => void): void;
   pause(ms: number): Promise<void>;
+  /** No other controller can be using the machines. */
+  surelyLeading(): boolean;
   returning(names: readonly string[]): void;
   gone(names: readonly string[]): void;
 }
@@ -264,13 +266,22 @@
         this.giveBack([b.name]);
       }
     }
-    if (this.returning.size > 0 && !this.returnBusy && this.deps.cloud.ready()) void this.sendReturns();
+    this.returnDue();
     if (now - this.lastCatalogAt > 60_000 && this.deps.cloud.ready(1)) {
       this.lastCatalogAt = now;
       void this.refreshPrices();
     }
   }
 
+  /**
+   * A leader that may have been replaced returns nothing: cut off from workers and state service, it takes machines
+   * for lost on which its successor runs tasks, and a request held back by the cut would end them afterwards.
+   */
+  private returnDue(): void {
+    if (this.returning.size === 0 || this.returnBusy) return;
+    if (this.deps.surelyLeading() && this.deps.cloud.ready()) void this.sendReturns();
+  }
+
   private async refreshPrices(): Promise<void> {
     const fresh = await this.deps.cloud.catalog();
     if (!fresh) return;
--- a/test/core/leader.test.ts
+++ b/test/core/leader.test.ts
@@ -59,3 +59,25 @@
   await ended.pass(1);
   assert.equal(ended.superseded, 0);
 });
+
+test('a leader that is not sure to lead takes no silent machine for lost and returns none', async () => {
+  // Held back by the same cut, its requests once could end machines on which the next leader ran tasks.
+  const h = new LeaderHarness();
+  h.load([], [['n-1', 'a']]);
+  h.leader.onReport(reportOf('n-1', 'a', { session: 1, seq: 1, token: TERM }));
+  const deaf = (): void => {
+    for (const question of h.inspected.splice(0)) question.answer(null);
+  };
+  h.sure = false;
+  for (let s = 0; s < 60; s++) {
+    await h.pass(1);
+    deaf();
+  }
+  assert.deepEqual(h.returned, []);
+  h.sure = true;
+  for (let s = 0; s < 3; s++) {
+    await h.pass(1);
+    deaf();
+  }
+  assert.deepEqual(h.returned, ['n-1']);
+});
--- a/test/fleet/fleet.test.ts
+++ b/test/fleet/fleet.test.ts
@@ -33,6 +33,7 @@
       command();
     },
     pause: () => Promise.resolve(),
+    surelyLeading: () => true,
     returning: () => undefined,
     gone: () => undefined,
   });
