A leader that has not read the state yet renews the lease of no task

Cause: a new leader answered all reports from the moment it had the lead, before it knew which jobs were open. A worker that hung or was cut off when its task's job was cancelled by the leader before, or by another controller without one, was so kept for a further lease without a stop; while the state service answers slowly or is out right after the takeover, again and again, past cancel_s. Change: until the state is read, reports with tasks are sent on (421) and tried again a second later; the four parts of the state are read at once, not one after the other, which shortens that time. Test: core/leader.test.ts.

--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -252,6 +252,9 @@
       this.deps.host.superseded();
       return null;
     }
+    // Until the state is read no cancellation is known: an answer would renew the lease of tasks that must be gone
+    // within `cancel_s`, without stopping them. Their worker tries again a second later.
+    if (!this.loaded && report.tasks.length > 0) return null;
     const machine = this.loaded ? this.takeReport(report, false) : null;
     if (!machine) {
       // Answered all the same, so its lease may be renewed before its machine is known here.
--- a/src/core/service.ts
+++ b/src/core/service.ts
@@ -401,10 +401,13 @@
     this.keepCatalog(writer);
     let revision = -1;
     while (this.isCurrent(held) && revision < 0) {
-      const open = await this.store.list(KEYS.openPrefix, 'lease');
-      const finished = await this.store.list(KEYS.finishedPrefix, 'lease');
-      const begun = await this.store.list(KEYS.begunPrefix, 'lease');
-      const roster = await this.store.list(KEYS.machinePrefix, 'lease');
+      // All at once: until they are read, the leases of workers with tasks are not renewed.
+      const [open, finished, begun, roster] = await Promise.all([
+        this.store.list(KEYS.openPrefix, 'lease'),
+        this.store.list(KEYS.finishedPrefix, 'lease'),
+        this.store.list(KEYS.begunPrefix, 'lease'),
+        this.store.list(KEYS.machinePrefix, 'lease'),
+      ]);
       if (open.kind === 'ok' && finished.kind === 'ok' && begun.kind === 'ok' && roster.kind === 'ok') {
         revision = open.value.revision;
         this.owner.post(() => {
--- a/test/core/leader.test.ts
+++ b/test/core/leader.test.ts
@@ -93,3 +93,15 @@
   }
   assert.deepEqual(h.returned, ['n-1']);
 });
+
+test('a leader that has not read the state yet renews the lease of no task, which may be cancelled', () => {
+  // With a state service that answers slowly, or not at all after the takeover, tasks once went on past cancel_s.
+  const h = new LeaderHarness();
+  const running = [task('req-000001', 0, 1)];
+  const report = (seq: number, token = OLD) => reportOf('n-1', 'a', { session: 1, seq, token }, running);
+  assert.equal(h.leader.onReport(report(1)), null);
+  assert.deepEqual(h.leader.onReport(reportOf('n-2', 'a', { session: 1, seq: 1, token: OLD })), []);
+  h.load([], [['n-1', 'a']]);
+  const stop = { op: 'stop', jobId: 'req-000001', task: 0, attempt: 1, graceS: 0 };
+  assert.deepEqual(h.leader.onReport(report(2)), [stop], 'the job is not open any more');
+});
