--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -312,6 +312,11 @@
     return this.election.current() === held;
   }
 
+  /** Ends this leadership; a word that comes late must not end a newer one of the same node. */
+  private endLeadership(held: Leadership, reason: string): void {
+    if (this.isCurrent(held)) this.election.stepDown(reason);
+  }
+
   private async lead(held: Leadership): Promise<void> {
     const pause = (ms: number): Promise<void> => this.pause(ms);
     while (!this.catalog && this.isCurrent(held)) await pause(50);
@@ -330,7 +335,7 @@
           return read.kind === 'ok' ? (read.value?.version ?? 0) : null;
         },
         lost: (reason) => {
-          this.election.stepDown(reason);
+          this.endLeadership(held, reason);
         },
         pause,
       },
@@ -356,7 +361,7 @@
         },
         pause,
         superseded: () => {
-          this.election.stepDown('a worker has seen a higher token');
+          this.endLeadership(held, 'a worker has seen a higher token');
         },
         lagMs: () => this.lag.ms(),
         hearsNobody: () => {
@@ -377,10 +382,13 @@
     this.keepCatalog(writer);
     let revision = -1;
     while (this.isCurrent(held) && revision < 0) {
-      const open = await this.store.list(KEYS.openPrefix, 'lease');
-      const finished = await this.store.list(KEYS.finishedPrefix, 'lease');
-      const begun = await this.store.list(KEYS.begunPrefix, 'lease');
-      const roster = await this.store.list(KEYS.machinePrefix, 'lease');
+      // All at once: until they are read, the leases of workers with tasks are not renewed.
+      const [open, finished, begun, roster] = await Promise.all([
+        this.store.list(KEYS.openPrefix, 'lease'),
+        this.store.list(KEYS.finishedPrefix, 'lease'),
+        this.store.list(KEYS.begunPrefix, 'lease'),
+        this.store.list(KEYS.machinePrefix, 'lease'),
+      ]);
       if (open.kind === 'ok' && finished.kind === 'ok' && begun.kind === 'ok' && roster.kind === 'ok') {
         revision = open.value.revision;
         this.owner.post(() => {
--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -61,6 +61,7 @@
         host.post(command);
       },
       pause: (ms) => host.pause(ms),
+      surelyLeading: () => host.surelyLeading(),
       returning: (names) => {
         this.markReturning(names);
       },
@@ -76,8 +77,7 @@
     this.endings = new Endings(this.cluster, deps);
     this.attempts = new Attempts(this.cluster, this.gangs, this.endings, deps);
     this.orders = new Orders(this.cluster, deps, (report) => {
-      // Only of machines that are still there: an answer can be older than the machine's end.
-      if (!this.stopped && this.cluster.machines.has(report.machine)) this.takeReport(report, true);
+      this.onDirectReport(report);
     });
     this.rounds = new Rounds(this.cluster, this.fleet, views, this.attempts, deps);
     this.watch = new Watch(
@@ -252,6 +252,9 @@
       this.deps.host.superseded();
       return null;
     }
+    // Until the state is read no cancellation is known: an answer would renew the lease of tasks that must be gone
+    // within `cancel_s`, without stopping them. Their worker tries again a second later.
+    if (!this.loaded && report.tasks.length > 0) return null;
     const machine = this.loaded ? this.takeReport(report, false) : null;
     if (!machine) {
       // Answered all the same, so its lease may be renewed before its machine is known here.
@@ -263,6 +266,17 @@
     return commands;
   }
 
+  /** What a worker answered to orders or to a question. Answers still come after the end of this leadership. */
+  private onDirectReport(report: Report): void {
+    if (this.stopped) return;
+    if (report.token > this.term) {
+      this.deps.host.superseded();
+      return;
+    }
+    // Only of machines that are still there: an answer can be older than the machine's end.
+    if (this.cluster.machines.has(report.machine)) this.takeReport(report, true);
+  }
+
   private takeReport(report: Report, direct: boolean): Machine | null {
     const now = this.now();
     const machine = this.cluster.machines.get(report.machine) ?? this.newcomer(report);
--- a/test/core/leader.test.ts
+++ b/test/core/leader.test.ts
@@ -38,3 +38,70 @@
     assert.equal(b.running(job.id).length, 4);
   }
 });
+
+test('a higher token in the answer to an order ends the leadership, one that comes after its end does not', async () => {
+  // A node that leads again within a second once lost its new lead to what it heard about its old one.
+  const higher = reportOf('n-1', 'a', { session: 1, seq: 2, token: TERM + 1 });
+  const ordered = async (): Promise<LeaderHarness> => {
+    const h = new LeaderHarness();
+    h.load([], [['n-1', 'a']]);
+    h.leader.onReport(reportOf('n-1', 'a', { session: 1, seq: 1, token: OLD }));
+    await h.pass(6);
+    return h;
+  };
+  const h = await ordered();
+  h.orders[0]!.answer({ report: higher, executed: false });
+  await h.pass(1);
+  assert.equal(h.superseded, 1);
+
+  const ended = await ordered();
+  ended.leader.stop();
+  ended.orders[0]!.answer({ report: higher, executed: false });
+  await ended.pass(1);
+  assert.equal(ended.superseded, 0);
+});
+
+test('what a worker of a newer leader answers to a question is not taken in', async () => {
+  const h = new LeaderHarness();
+  const job = jobOf('req-000001');
+  h.load([job], [['n-1', 'a']]);
+  await h.pass(5);
+  const order = { session: 1, seq: 1, token: TERM + 1 };
+  h.inspected[0]!.answer(reportOf('n-1', 'a', order, [task(job.id, 0, 9)]));
+  await h.pass(1);
+  assert.equal(h.leader.status(job.id)?.running, 0);
+});
+
+test('a leader that is not sure to lead takes no silent machine for lost and returns none', async () => {
+  // Held back by the same cut, its requests once could end machines on which the next leader ran tasks.
+  const h = new LeaderHarness();
+  h.load([], [['n-1', 'a']]);
+  h.leader.onReport(reportOf('n-1', 'a', { session: 1, seq: 1, token: TERM }));
+  const deaf = (): void => {
+    for (const question of h.inspected.splice(0)) question.answer(null);
+  };
+  h.sure = false;
+  for (let s = 0; s < 60; s++) {
+    await h.pass(1);
+    deaf();
+  }
+  assert.deepEqual(h.returned, []);
+  h.sure = true;
+  for (let s = 0; s < 3; s++) {
+    await h.pass(1);
+    deaf();
+  }
+  assert.deepEqual(h.returned, ['n-1']);
+});
+
+test('a leader that has not read the state yet renews the lease of no task, which may be cancelled', () => {
+  // With a state service that answers slowly, or not at all after the takeover, tasks once went on past cancel_s.
+  const h = new LeaderHarness();
+  const running = [task('req-000001', 0, 1)];
+  const report = (seq: number, token = OLD) => reportOf('n-1', 'a', { session: 1, seq, token }, running);
+  assert.equal(h.leader.onReport(report(1)), null);
+  assert.deepEqual(h.leader.onReport(reportOf('n-2', 'a', { session: 1, seq: 1, token: OLD })), []);
+  h.load([], [['n-1', 'a']]);
+  const stop = { op: 'stop', jobId: 'req-000001', task: 0, attempt: 1, graceS: 0 };
+  assert.deepEqual(h.leader.onReport(report(2)), [stop], 'the job is not open any more');
+});
