Polls have a share of their own, go to the leader in batches and share reads

Cause: polls shared one limit with submissions and cancellations, waited for a turn of the owner, went to the leader one frame each, and in a takeover each read the state service with the same urgency as submissions. The leader answers a batch without waiting; what takes longer is looked up by the controller that asked.

--- a/src/config/options.ts
+++ b/src/config/options.ts
@@ -128,8 +128,16 @@
     final_cache: tunable(5000, 0, 1_000_000, 'jobs', 'final states kept in memory'),
   },
   http: {
-    users_min: tunable(8, 1, 10_000, 'requests', 'least limit of user requests in progress'),
-    users_max: tunable(400, 1, 10_000, 'requests', 'greatest limit of user requests in progress'),
+    users_min: tunable(8, 1, 10_000, 'requests', 'least limit of submissions and cancellations in progress'),
+    users_max: tunable(
+      400,
+      1,
+      10_000,
+      'requests',
+      'greatest limit of submissions and cancellations in progress',
+    ),
+    polls_min: tunable(8, 1, 10_000, 'requests', 'least limit of polls that wait for another controller'),
+    polls_max: tunable(400, 1, 10_000, 'requests', 'greatest limit of such polls'),
     workers_min: tunable(128, 1, 10_000, 'requests', 'least limit of worker reports in progress'),
     workers_max: tunable(
       10_000,
--- a/src/core/routes.ts
+++ b/src/core/routes.ts
@@ -10,7 +10,10 @@
 export interface RouteDeps {
   options: Options;
   door: UserDoor;
+  /** Submissions and cancellations in progress. */
   userLimit: AdaptiveLimit;
+  /** Polls that wait for the leader or the state service. */
+  pollLimit: AdaptiveLimit;
   workerLimit: AdaptiveLimit;
   /** Puts a command in the owner's queue. */
   post(command: () => void): void;
@@ -44,7 +47,7 @@
     const job = JOB_PATH.exec(path);
     if (job) {
       if (method !== 'GET') reply(failure(405, 'use GET'));
-      else this.limited(userLimit, reply, (r) => door.poll(job[1]!, r));
+      else this.poll(job[1]!, reply);
       return;
     }
     const cancel = CANCEL_PATH.exec(path);
@@ -56,10 +59,36 @@
     reply(failure(404, 'no such path'));
   }
 
+  /**
+   * Polls have a share of their own, however many there are. What is known here is told at once: it changes
+   * nothing, so it needs no turn of the owner's. Over the limit of those that wait a poll is refused at once.
+   */
+  private poll(id: string, reply: Reply): void {
+    const { door, pollLimit } = this.deps;
+    const known = door.pollFromMemory(id);
+    if (known) {
+      reply(known);
+      return;
+    }
+    const leave = pollLimit.enter();
+    if (!leave) {
+      reply(this.tooMany());
+      return;
+    }
+    door.poll(id, (answer) => {
+      leave();
+      reply(answer);
+    });
+  }
+
+  private tooMany(): Answer {
+    return failure(503, 'too many requests in progress', this.deps.options.users.retry_after_s);
+  }
+
   private limited(limit: AdaptiveLimit, reply: Reply, run: (reply: Reply) => void): void {
     const leave = limit.enter();
     if (!leave) {
-      reply(failure(503, 'too many requests in progress', this.deps.options.users.retry_after_s));
+      reply(this.tooMany());
       return;
     }
     this.deps.post(() => {
--- a/src/core/service.ts
+++ b/src/core/service.ts
@@ -10,13 +10,16 @@
 import { FinalCache } from '../jobs/finals.ts';
 import type { TeamLimits } from '../jobs/admission.ts';
 import { Election, leaseMs, type Leadership } from '../leadership/election.ts';
-import type { MeshReply, MeshRequest } from '../mesh/frames.ts';
+import { answerBatch, PollBatcher } from '../jobs/poll-batches.ts';
+import { SharedReads } from '../jobs/shared-reads.ts';
+import type { MeshReply, MeshRequest, PollAnswer } from '../mesh/frames.ts';
 import { Mesh } from '../mesh/mesh.ts';
 import { Reach } from '../mesh/reach.ts';
 import { RateBudget } from '../store/budget.ts';
-import { StoreClient } from '../store/client.ts';
+import { moreUrgent, StoreClient, type StoreResult, type Urgency } from '../store/client.ts';
 import { KEYS } from '../store/keys.ts';
 import { LeaderWriter } from '../store/writer.ts';
+import type { Item } from '../wire/state.ts';
 import { decodeReport, encodeReportAnswer, encodeReportTo } from '../wire/worker.ts';
 import { WorkerClient } from '../workers/client.ts';
 import { systemClock } from './clock.ts';
@@ -60,6 +63,8 @@
   private readonly election: Election;
   private readonly finals: FinalCache;
   private readonly reach: Reach;
+  private readonly reads: SharedReads<StoreResult<Item | null>, Urgency>;
+  private readonly polls: PollBatcher;
   private readonly peers: string[];
   private othersFailedAt = -Infinity;
   private askedOthersAt = -Infinity;
@@ -142,6 +147,10 @@
             reply({ kind: lately ? 'here' : 'unable' });
             return;
           }
+          if (request.kind === 'polls') {
+            reply({ kind: 'answers', answers: this.answerPolls(request.jobIds) });
+            return;
+          }
           if (request.kind !== 'promise') {
             this.door.onMesh(request, reply);
             return;
@@ -153,20 +162,30 @@
       },
       log,
     );
+    const after = (ms: number, run: () => void): void => {
+      setTimeout(run, ms);
+    };
+    this.reads = new SharedReads({
+      now,
+      after,
+      read: (key, urgency) => this.store.get(key, urgency),
+      moreUrgent,
+    });
+    this.polls = new PollBatcher({ now, after, send: (jobIds) => this.sendPolls(jobIds) });
     this.door = new UserDoor({
       clock: this.clock,
       options,
-      store: this.store,
+      store: {
+        get: (key, urgency) => this.reads.get(key, urgency),
+        txn: (conditions, changes, urgency) => this.store.txn(conditions, changes, urgency),
+      },
       finals: this.finals,
       teams: this.teams,
       catalog: () => this.catalog,
       leader: () => this.localLeader(),
       actAlone: () => this.election.actAlone(),
-      askLeader: (request, timeoutMs) => {
-        const leader = this.election.leader();
-        if (leader === null || leader === settings.host_name) return Promise.resolve(null);
-        return this.mesh.ask(leader, request, timeoutMs);
-      },
+      askLeader: (request, timeoutMs) =>
+        request.kind === 'poll' ? this.polls.ask(request.jobId) : this.askLeader(request, timeoutMs),
       askOthers: (request, timeoutMs) => this.askOthers(request, timeoutMs),
     });
     this.reach = new Reach({
@@ -209,13 +228,14 @@
     );
     const limit = (initial: number, min: number, max: number, slackMs: number): AdaptiveLimit =>
       new AdaptiveLimit(now, { initial, min, max, slackMs, tolerance: 4 });
-    const { users_min, users_max, workers_min, workers_max } = options.http;
+    const { users_min, users_max, polls_min, polls_max, workers_min, workers_max } = options.http;
     // Each worker has one report in progress, over a socket of its own.
     const most = Math.max(workers_min, Math.min(workers_max, settings.settings.limits.sockets));
     this.routes = new Routes({
       options,
       door: this.door,
       userLimit: limit(64, users_min, users_max, USER_SLACK_MS),
+      pollLimit: limit(64, polls_min, polls_max, USER_SLACK_MS),
       workerLimit: limit(most, workers_min, most, WORKER_SLACK_MS),
       post: (command) => {
         this.owner.post(command);
@@ -320,6 +340,25 @@
     if (heard && this.isCurrent(held)) this.election.yieldFor(YIELD_MS, 'workers reach others only');
   }
 
+  private askLeader(request: MeshRequest, timeoutMs: number): Promise<MeshReply | null> {
+    const leader = this.election.leader();
+    if (leader === null || leader === this.settings.host_name) return Promise.resolve(null);
+    return this.mesh.ask(leader, request, timeoutMs);
+  }
+
+  private async sendPolls(jobIds: string[]): Promise<readonly PollAnswer[] | null> {
+    const reply = await this.askLeader({ kind: 'polls', jobIds }, this.options.users.forward_ms);
+    return reply?.kind === 'answers' ? reply.answers : null;
+  }
+
+  private answerPolls(jobIds: readonly string[]): PollAnswer[] {
+    return answerBatch(jobIds, (jobId, reply) => {
+      this.door.onMesh({ kind: 'poll', jobId }, (answer) => {
+        reply(answer.kind === 'status' || answer.kind === 'unknown' ? answer : { kind: 'unable' });
+      });
+    });
+  }
+
   private async askOthers(request: MeshRequest, timeoutMs: number): Promise<MeshReply | null> {
     if (this.clock.now() - this.othersFailedAt < OTHERS_PAUSE_MS) return null;
     const reply = await this.mesh.askAny(this.peers, request, timeoutMs, (r) => r.kind !== 'unable');
--- a/src/jobs/door.ts
+++ b/src/jobs/door.ts
@@ -4,7 +4,7 @@
 import { failure, type Answer, type Reply } from '../http/server.ts';
 import type { MeshReply, MeshRequest } from '../mesh/frames.ts';
 import { KEYS } from '../store/keys.ts';
-import type { StoreClient } from '../store/client.ts';
+import type { StoreClient, Urgency } from '../store/client.ts';
 import {
   decodeJob,
   encodeStatus,
@@ -28,7 +28,7 @@
 export interface DoorDeps {
   clock: Clock;
   options: Options;
-  store: StoreClient;
+  store: Pick<StoreClient, 'get' | 'txn'>;
   finals: FinalCache;
   teams: readonly TeamLimits[];
   catalog(): Catalog | null;
@@ -94,7 +94,7 @@
 
   /** A known job is answered with its state, whatever else was sent with its id. */
   private async unlessKnown(id: string, otherwise: Answer): Promise<Answer> {
-    const looked = await this.lookHereOrElsewhere(id);
+    const looked = await this.lookHereOrElsewhere(id, 'user');
     if (looked.kind === 'status') return this.found(id, looked.status);
     return looked.kind === 'missing' ? otherwise : this.busy('the state service can not be reached');
   }
@@ -121,14 +121,17 @@
     return this.deps.finals.get(id) ?? this.deps.leader()?.status(id) ?? undefined;
   }
 
-  poll(id: string, reply: Reply): void {
-    if (!isJobId(id)) {
-      reply(failure(404, 'no such job'));
-      return;
-    }
+  /** The answer to a poll that needs nobody else, or null. */
+  pollFromMemory(id: string): Answer | null {
+    if (!isJobId(id)) return failure(404, 'no such job');
     const known = this.known(id);
+    return known ? this.found(id, known) : null;
+  }
+
+  poll(id: string, reply: Reply): void {
+    const known = this.pollFromMemory(id);
     if (known) {
-      reply(this.found(id, known));
+      reply(known);
       return;
     }
     void this.lookEverywhere(id).then((looked) => {
@@ -141,11 +144,11 @@
   private async lookEverywhere(id: string): Promise<Looked> {
     const answer = await this.deps.askLeader({ kind: 'poll', jobId: id }, this.deps.options.users.forward_ms);
     if (answer?.kind === 'status') return { kind: 'status', status: answer };
-    return this.lookHereOrElsewhere(id);
+    return this.lookHereOrElsewhere(id, 'poll');
   }
 
-  private async lookHereOrElsewhere(id: string): Promise<Looked> {
-    const looked = await this.look(id);
+  private async lookHereOrElsewhere(id: string, urgency: Urgency): Promise<Looked> {
+    const looked = await this.look(id, urgency);
     if (looked.kind !== 'unable') return looked;
     // Perhaps the state service refuses this node alone; what others find is as fresh.
     return this.lookedBy(
@@ -159,11 +162,11 @@
   }
 
   /** A fresh look into the store: the open record first, since a job only ever moves from open to final. */
-  private async look(id: string): Promise<Looked> {
-    const open = await this.deps.store.get(KEYS.open(id), 'user');
+  private async look(id: string, urgency: Urgency = 'user'): Promise<Looked> {
+    const open = await this.deps.store.get(KEYS.open(id), urgency);
     if (open.kind !== 'ok') return { kind: 'unable' };
     if (open.value) return { kind: 'status', status: this.deps.leader()?.status(id) ?? PENDING };
-    const final = await this.deps.store.get(KEYS.final(id), 'user');
+    const final = await this.deps.store.get(KEYS.final(id), urgency);
     if (final.kind !== 'ok') return { kind: 'unable' };
     if (!final.value) return { kind: 'missing' };
     const status = readFinal(final.value.value);
@@ -251,7 +254,7 @@
   // ---- requests handed over by other nodes ----
 
   onMesh(
-    request: Exclude<MeshRequest, { kind: 'promise' | 'ping' | 'workers' }>,
+    request: Exclude<MeshRequest, { kind: 'promise' | 'ping' | 'workers' | 'polls' }>,
     reply: (reply: MeshReply) => void,
   ): void {
     const answer = (looked: Looked): void => {
@@ -265,7 +268,7 @@
     } else if (request.kind === 'look') {
       const status = this.known(request.jobId);
       if (status) answer({ kind: 'status', status });
-      else void this.look(request.jobId).then(answer);
+      else void this.look(request.jobId, 'poll').then(answer);
     } else if (request.kind === 'cancel') {
       if (this.deps.leader()) void this.cancelAsLeader(request.jobId).then(answer);
       else answer({ kind: 'unable' });
--- a/src/mesh/frames.ts
+++ b/src/mesh/frames.ts
@@ -3,6 +3,8 @@
 /** What controllers ask each other. A follower hands a user's request to the leader and returns its answer. */
 export type MeshRequest =
   | { kind: 'poll'; jobId: string }
+  /** Many polls at once; answered by `answers` in the same order. */
+  | { kind: 'polls'; jobIds: string[] }
   /** What the store says of a job: asked by a node that the state service refuses alone. */
   | { kind: 'look'; jobId: string }
   /** Are you there? */
@@ -16,12 +18,17 @@
 
 export type MeshStage = 'pending' | 'running' | 'done' | 'cancelled';
 
+/** What a leader says of one job of a batch. */
+export type PollAnswer =
+  | { kind: 'status'; created: boolean; stage: MeshStage; done: number; running: number }
+  | { kind: 'unknown' }
+  | { kind: 'unable' };
+
 /** `unable`: the asked node can't decide now. `unknown`: it doesn't know the job and hasn't looked further. */
 export type MeshReply =
-  | { kind: 'status'; created: boolean; stage: MeshStage; done: number; running: number }
+  | PollAnswer
+  | { kind: 'answers'; answers: PollAnswer[] }
   | { kind: 'refused'; status: number; reason: string }
-  | { kind: 'unknown' }
-  | { kind: 'unable' }
   | { kind: 'promised' }
   | { kind: 'here' };
 
@@ -46,13 +53,14 @@
               type: {
                 type: 'enum',
                 name: 'RequestKind',
-                symbols: ['poll', 'cancel', 'submit', 'promise', 'look', 'ping', 'workers'],
+                symbols: ['poll', 'cancel', 'submit', 'promise', 'look', 'ping', 'workers', 'polls'],
               },
             },
             { name: 'jobId', type: 'string' },
             { name: 'body', type: 'string' },
             { name: 'term', type: 'long' },
             { name: 'ms', type: 'int' },
+            { name: 'jobIds', type: { type: 'array', items: 'string' } },
           ],
         },
       ],
@@ -70,7 +78,7 @@
               type: {
                 type: 'enum',
                 name: 'ReplyKind',
-                symbols: ['status', 'refused', 'unknown', 'unable', 'promised', 'here'],
+                symbols: ['status', 'refused', 'unknown', 'unable', 'promised', 'here', 'answers'],
               },
             },
             { name: 'created', type: 'boolean' },
@@ -86,6 +94,25 @@
             { name: 'running', type: 'int' },
             { name: 'status', type: 'int' },
             { name: 'reason', type: 'string' },
+            {
+              name: 'answers',
+              type: {
+                type: 'array',
+                items: {
+                  type: 'record',
+                  name: 'Answer',
+                  fields: [
+                    {
+                      name: 'kind',
+                      type: { type: 'enum', name: 'AnswerKind', symbols: ['status', 'unknown', 'unable'] },
+                    },
+                    { name: 'stage', type: 'Stage' },
+                    { name: 'done', type: 'int' },
+                    { name: 'running', type: 'int' },
+                  ],
+                },
+              },
+            },
           ],
         },
       ],
@@ -93,9 +120,23 @@
   ],
 });
 
+interface RawAnswer {
+  kind: PollAnswer['kind'];
+  stage: MeshStage;
+  done: number;
+  running: number;
+}
+
 interface RawFrame {
   id: number;
-  request: { kind: MeshRequest['kind']; jobId: string; body: string; term: number; ms: number } | null;
+  request: {
+    kind: MeshRequest['kind'];
+    jobId: string;
+    body: string;
+    term: number;
+    ms: number;
+    jobIds: string[];
+  } | null;
   reply: {
     kind: MeshReply['kind'];
     created: boolean;
@@ -104,20 +145,40 @@
     running: number;
     status: number;
     reason: string;
+    answers: RawAnswer[];
   } | null;
 }
 
-const NO_REQUEST = { jobId: '', body: '', term: 0, ms: 0 } as const;
-const NO_REPLY = { created: false, stage: 'pending', done: 0, running: 0, status: 0, reason: '' } as const;
+const NO_REQUEST = { jobId: '', body: '', term: 0, ms: 0, jobIds: [] as string[] } as const;
+const NO_REPLY = {
+  created: false,
+  stage: 'pending',
+  done: 0,
+  running: 0,
+  status: 0,
+  reason: '',
+  answers: [] as RawAnswer[],
+} as const;
+const NO_ANSWER = { stage: 'pending', done: 0, running: 0 } as const;
 
 /** Frames are a 4-byte length and the record. Jobs are at most 64 KiB, so anything longer is not ours. */
 export const MAX_FRAME = 128 * 1024;
 
+function encodeReply(reply: MeshReply): NonNullable<RawFrame['reply']> {
+  if (reply.kind !== 'answers') return { ...NO_REPLY, ...reply };
+  return { ...NO_REPLY, kind: reply.kind, answers: reply.answers.map((a) => ({ ...NO_ANSWER, ...a })) };
+}
+
+function decodeAnswer(raw: RawAnswer): PollAnswer {
+  if (raw.kind !== 'status') return { kind: raw.kind };
+  return { kind: 'status', created: false, stage: raw.stage, done: raw.done, running: raw.running };
+}
+
 export function encodeFrame(frame: MeshFrame): Buffer {
   const raw: RawFrame = {
     id: frame.id,
     request: frame.request ? { ...NO_REQUEST, ...frame.request } : null,
-    reply: frame.reply ? { ...NO_REPLY, ...frame.reply } : null,
+    reply: frame.reply ? encodeReply(frame.reply) : null,
   };
   const body = frameType.toBuffer(raw);
   const head = Buffer.allocUnsafe(4);
@@ -134,6 +195,8 @@
         return { id, request: { kind: 'submit', jobId: request.jobId, body: request.body }, reply: null };
       case 'promise':
         return { id, request: { kind: 'promise', term: request.term, ms: request.ms }, reply: null };
+      case 'polls':
+        return { id, request: { kind: 'polls', jobIds: request.jobIds }, reply: null };
       case 'ping':
       case 'workers':
         return { id, request: { kind: request.kind }, reply: null };
@@ -149,6 +212,8 @@
     }
     case 'refused':
       return { id, request: null, reply: { kind: 'refused', status: reply.status, reason: reply.reason } };
+    case 'answers':
+      return { id, request: null, reply: { kind: 'answers', answers: reply.answers.map(decodeAnswer) } };
     default:
       return { id, request: null, reply: { kind: reply.kind } };
   }
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -14,8 +14,13 @@
   | { kind: 'unknown' };
 
 /** How urgent a call is: each less urgent kind leaves permits in the budget for the ones before it. */
-export type Urgency = 'lease' | 'user' | 'background';
-const RESERVE: Record<Urgency, number> = { lease: 0, user: 0.1, background: 0.35 };
+export type Urgency = 'lease' | 'user' | 'background' | 'poll';
+/** Shares of the budget that each kind leaves to the others. Users ask at any rate: theirs is what is left over. */
+const RESERVE: Record<Urgency, number> = { lease: 0, user: 0.1, background: 0.35, poll: 0.4 };
+
+export function moreUrgent(first: Urgency, second: Urgency): boolean {
+  return RESERVE[first] < RESERVE[second];
+}
 
 const READ_TIMEOUT_MS = 1500;
 const WRITE_TIMEOUT_MS = 2000;
--- a/test/mesh/frames.test.ts
+++ b/test/mesh/frames.test.ts
@@ -7,6 +7,14 @@
 import { SEED, silent } from '../helpers.ts';
 
 const id = fc.integer({ min: 0, max: 2 ** 40 });
+const status = fc.record({
+  kind: fc.constant('status' as const),
+  created: fc.constant(false),
+  stage: fc.constantFrom('pending' as const, 'running' as const, 'done' as const, 'cancelled' as const),
+  done: fc.nat(),
+  running: fc.nat(),
+});
+const unanswered = fc.record({ kind: fc.constantFrom('unknown' as const, 'unable' as const) });
 const frame: fc.Arbitrary<MeshFrame> = fc.oneof(
   fc.record({
     id,
@@ -18,6 +26,7 @@
       fc.record({ kind: fc.constantFrom('ping' as const, 'workers' as const) }),
       fc.record({ kind: fc.constant('submit' as const), jobId: fc.string(), body: fc.string() }),
       fc.record({ kind: fc.constant('promise' as const), term: fc.nat(), ms: fc.nat() }),
+      fc.record({ kind: fc.constant('polls' as const), jobIds: fc.array(fc.string()) }),
     ),
     reply: fc.constant(null),
   }),
@@ -32,6 +41,10 @@
         done: fc.nat(),
         running: fc.nat(),
       }),
+      fc.record({
+        kind: fc.constant('answers' as const),
+        answers: fc.array(fc.oneof(status, unanswered)),
+      }),
       fc.record({ kind: fc.constant('refused' as const), status: fc.nat(), reason: fc.string() }),
       fc.record({
         kind: fc.constantFrom('unknown' as const, 'unable' as const, 'promised' as const, 'here' as const),
