A leader that stood still asks nothing of the cloud and starts nothing

Cause: after standing still for over its lease a leader saw all its machines silent and all it had rented as never come up, and asked the cloud to take them back before it heard that its lease was over; a rental without an answer was asked for again, and an order whose connection came about meanwhile was written. Change: the cloud is asked for nothing without a sure lease; after a standstill silence counts anew and booting machines get time to find this controller; an order with a start is written only if the lease is sure at that moment.

--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -57,6 +57,7 @@
       zones: deps.zones,
       options,
       term: deps.term,
+      surelyLeading: () => host.surelyLeading(),
       post: (command) => {
         host.post(command);
       },
--- a/src/core/service.ts
+++ b/src/core/service.ts
@@ -403,7 +403,11 @@
         clock: this.clock,
         log: this.log,
         surelyLeading: () => this.isCurrent(held) && this.election.surelyLeading(),
-        order: (machine, commands) => this.workers.order(machine, held.term, commands),
+        order: (machine, commands) => {
+          const starts = commands.some((c) => c.op === 'start');
+          const mayStart = (): boolean => this.isCurrent(held) && this.election.surelyLeading();
+          return this.workers.order(machine, held.term, commands, starts ? mayStart : () => true);
+        },
         inspect: (machine) => this.workers.inspect(machine),
         final: (id, status) => {
           this.finals.put(id, status);
--- a/src/core/watch.ts
+++ b/src/core/watch.ts
@@ -17,6 +17,8 @@
 const FEWEST = 3;
 const NEARLY_ALL = 0.75;
 const WATCH_MS = 400;
+/** Between two looks at the machines this long passes only on a controller that stood still. */
+const STOOD_STILL_MS = 5000;
 /** Workers find a new leader by themselves within about a report; only then are the others asked. */
 const FIND_US_MS = 4000;
 /**
@@ -28,6 +30,8 @@
 /** Looks after machines over time: silent and deaf ones, sessions that are surely over, notices, takeovers. */
 export class Watch {
   private lastAt = -Infinity;
+  /** Silence before this says nothing: this controller was not there to hear, or not the leader yet. */
+  private listeningSince: number;
 
   constructor(
     private readonly cluster: Cluster,
@@ -37,7 +41,9 @@
     private readonly deps: LeaderDeps,
     private readonly startedAt: number,
     private readonly stopOrderly: (a: Attempt, reason: string) => void,
-  ) {}
+  ) {
+    this.listeningSince = startedAt;
+  }
 
   private get reportMs(): number {
     return this.deps.settings.settings.workers.report_s * 1000;
@@ -51,6 +57,7 @@
   tick(): void {
     const now = this.deps.host.clock.now();
     if (now - this.lastAt < WATCH_MS) return;
+    if (now - this.lastAt > STOOD_STILL_MS && this.lastAt !== -Infinity) this.resume(now);
     this.lastAt = now;
     const silentMs = this.reportMs * this.deps.options.workers.silent_reports;
     const silentByZone = new Map<number, number>();
@@ -62,7 +69,7 @@
       totalByZone.set(m.zone, (totalByZone.get(m.zone) ?? 0) + 1);
       const quietMs = this.quietMs(m, now);
       // Those that a new leader has never heard may still be with the last one: they get longer, and are asked.
-      const heardOnce = m.contactAt > this.startedAt;
+      const heardOnce = m.contactAt > this.listeningSince;
       const missing = heardOnce ? quietMs > this.reportMs * MISSED : quietMs > silentMs && m.probesFailed > 0;
       if (heardOnce) known += 1;
       if (heardOnce && missing) lost += 1;
@@ -86,6 +93,16 @@
     this.fleet.syncList(this.cluster.machines);
   }
 
+  /**
+   * After standing still all machines look silent at once, and all that were booting look as if they never came up;
+   * a leader that kept its lease through an outage, or did not know yet that it was over, returned them.
+   */
+  private resume(now: number): void {
+    this.listeningSince = now;
+    this.fleet.resumed();
+    this.deps.host.log.info({ stoodStillMs: Math.round(now - this.lastAt) }, 'this controller stood still');
+  }
+
   /**
    * Many silent machines of one zone point to a cut. Once they are returned nobody is left there to tell, so the
    * zone stays dark until one of its machines is heard: the fleet keeps one on trial. Machines once went on being
@@ -105,7 +122,7 @@
 
   /** How long there has been no sign that the machine both speaks and hears. */
   private quietMs(m: Machine, now: number): number {
-    return now - Math.max(m.contactAt, this.startedAt);
+    return now - Math.max(m.contactAt, this.listeningSince);
   }
 
   /** `patient`: its silence may have another cause than its end. */
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -14,6 +14,8 @@
   zones: Intern;
   options: Options;
   term: number;
+  /** Nothing is asked of the cloud without it: another controller may lead by now, and own the machines. */
+  surelyLeading(): boolean;
   post(command: () => void): void;
   pause(ms: number): Promise<void>;
   returning(names: readonly string[]): void;
@@ -165,7 +167,7 @@
     };
     option.asking = count;
     log.info(rental, 'renting');
-    for (let attempt = 0; attempt < 5; attempt++) {
+    for (let attempt = 0; attempt < 5 && this.deps.surelyLeading(); attempt++) {
       const rentedAt = clock.now();
       const result = await cloud.rent(rental);
       if (result.kind === 'rented') {
@@ -254,7 +256,17 @@
     this.giveBack(names);
   }
 
+  /**
+   * The controller stood still until now: whatever came up meanwhile could not report to it. Machines that were
+   * booting get as long as those of an earlier leader to find it again.
+   */
+  resumed(): void {
+    const keepUntil = this.deps.clock.now() + LISTED_GRACE_MS;
+    for (const b of this.bootingByName.values()) b.keepUntil = Math.max(b.keepUntil, keepUntil);
+  }
+
   tick(): void {
+    if (!this.deps.surelyLeading()) return;
     const now = this.deps.clock.now();
     for (const b of this.bootingByName.values()) {
       const bootS = this.deps.catalog.types[b.type]?.bootS ?? 60;
--- a/src/http/client.ts
+++ b/src/http/client.ts
@@ -38,7 +38,17 @@
     this.agent = typeof via === 'number' ? keepAliveAgent(via) : via;
   }
 
-  send(method: string, path: string, body: string | null, timeoutMs: number): Promise<HttpResult> {
+  /**
+   * `wanted` is asked once the connection stands, right before the request is written: a process may stand still
+   * while it connects, and what it meant to send then may no longer be its to send.
+   */
+  send(
+    method: string,
+    path: string,
+    body: string | null,
+    timeoutMs: number,
+    wanted?: () => boolean,
+  ): Promise<HttpResult> {
     return new Promise((resolve) => {
       let settled = false;
       const finish = (result: HttpResult): void => {
@@ -83,8 +93,22 @@
       req.on('error', (error: NodeJS.ErrnoException) => {
         finish({ kind: 'silent', sent: error.code !== 'ECONNREFUSED', reason: error.code ?? error.message });
       });
-      if (body !== null) req.write(body);
-      req.end();
+      const write = (): void => {
+        if (settled) return;
+        if (wanted?.() === false) {
+          finish({ kind: 'silent', sent: false, reason: 'no longer wanted' });
+          req.destroy();
+          return;
+        }
+        if (body !== null) req.write(body);
+        req.end();
+      };
+      if (!wanted) write();
+      else
+        req.once('socket', (socket) => {
+          if (socket.connecting) socket.once('connect', write);
+          else write();
+        });
     });
   }
 
--- a/src/workers/client.ts
+++ b/src/workers/client.ts
@@ -16,10 +16,16 @@
     this.agent = passingAgent(sockets);
   }
 
-  async order(machine: Machine, token: number, commands: readonly Command[]): Promise<OrderResult> {
+  /** `wanted`: whether the orders may still be sent, asked right before they are. */
+  async order(
+    machine: Machine,
+    token: number,
+    commands: readonly Command[],
+    wanted: () => boolean,
+  ): Promise<OrderResult> {
     const body = encodeOrders(token, machine.session, commands);
     const client = new HttpClient(machine.id.address, this.agent);
-    const result = await client.send('POST', '/orders', body, ORDER_TIMEOUT_MS);
+    const result = await client.send('POST', '/orders', body, ORDER_TIMEOUT_MS, wanted);
     if (result.kind === 'silent') return result.sent ? 'silent' : 'not_sent';
     if (result.status !== 200 && result.status !== 409) return 'not_sent';
     const report = decodeReport(result.body);
--- a/test/fleet/fleet.test.ts
+++ b/test/fleet/fleet.test.ts
@@ -4,11 +4,15 @@
 import { Intern } from '../../src/core/intern.ts';
 import { Catalog } from '../../src/fleet/catalog.ts';
 import type { Cloud } from '../../src/fleet/cloud.ts';
-import { Fleet } from '../../src/fleet/fleet.ts';
+import { Fleet, type FleetDeps } from '../../src/fleet/fleet.ts';
 import type { RentRequest } from '../../src/wire/cloud.ts';
 import { BIG, FakeClock, silent } from '../helpers.ts';
 
-function setup(): { fleet: Fleet; asked: RentRequest[]; settle: () => Promise<void> } {
+function setup(over: Partial<FleetDeps> = {}): {
+  fleet: Fleet;
+  asked: RentRequest[];
+  settle: () => Promise<void>;
+} {
   const asked: RentRequest[] = [];
   const cloud: Cloud = {
     ready: () => true,
@@ -29,12 +33,14 @@
     zones: new Intern(['a', 'b']),
     options: defaultOptions(),
     term: 3,
+    surelyLeading: () => true,
     post: (command) => {
       command();
     },
     pause: () => Promise.resolve(),
     returning: () => undefined,
     gone: () => undefined,
+    ...over,
   });
   return { fleet, asked, settle: () => new Promise((resolve) => setImmediate(resolve)) };
 }
@@ -68,3 +74,22 @@
   assert.equal(new Set(asked.map((r) => r.request)).size, asked.length);
   assert.ok(asked.every((r) => r.request.startsWith('pw-3-')));
 });
+
+test('a rental without an answer is not asked for again once the lease is over', async () => {
+  // A leader that stood still between two tries once went on with the second one, in another leader's time.
+  let sure = true;
+  const asked: RentRequest[] = [];
+  const cloud = {
+    ready: () => true,
+    rent: (request: RentRequest) => {
+      asked.push(request);
+      sure = asked.length < 2;
+      return Promise.resolve({ kind: 'unknown' as const });
+    },
+  } as unknown as Cloud;
+  const { fleet, settle } = setup({ cloud, surelyLeading: () => sure });
+  fleet.want(new Map([[0, 1]]));
+  for (let i = 0; i < 20; i++) await settle();
+  assert.equal(asked.length, 2);
+  assert.equal(fleet.booting().length, 0, 'nothing is waited for');
+});
