--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -8,13 +8,16 @@
 import { FinalCache } from '../jobs/finals.ts';
 import type { TeamLimits } from '../jobs/admission.ts';
 import { Election, leaseMs, type Leadership } from '../leadership/election.ts';
-import type { MeshReply, MeshRequest } from '../mesh/frames.ts';
+import { answerBatch, PollBatcher } from '../jobs/poll-batches.ts';
+import { SharedReads } from '../jobs/shared-reads.ts';
+import type { MeshReply, MeshRequest, PollAnswer } from '../mesh/frames.ts';
 import { askAny } from '../mesh/ask.ts';
 import { Reach } from '../mesh/reach.ts';
 import { RateBudget } from '../store/budget.ts';
-import { StoreClient } from '../store/client.ts';
+import { moreUrgent, StoreClient, type StoreResult, type Urgency } from '../store/client.ts';
 import { KEYS } from '../store/keys.ts';
 import { LeaderWriter } from '../store/writer.ts';
+import type { Item } from '../wire/state.ts';
 import { decodeReport, encodeReportAnswer, encodeReportTo } from '../wire/worker.ts';
 import { WorkerClient } from '../workers/client.ts';
 import type { Clock } from './clock.ts';
@@ -58,6 +61,8 @@
   private readonly election: Election;
   private readonly finals: FinalCache;
   private readonly reach: Reach;
+  private readonly reads: SharedReads<StoreResult<Item | null>, Urgency>;
+  private readonly polls: PollBatcher;
   private othersFailedAt = -Infinity;
   private askedOthersAt = -Infinity;
   /** When a worker last tried to report here. */
@@ -120,20 +125,30 @@
     this.graceMs =
       Math.min(options.leadership.grace_s, Math.max(0, (workers.cancel_s - workers.lease_s) * 0.6)) * 1000;
     const { peers } = platform;
+    const after = (ms: number, run: () => void): void => {
+      void this.pause(ms).then(run);
+    };
+    this.reads = new SharedReads({
+      now,
+      after,
+      read: (key, urgency) => this.store.get(key, urgency),
+      moreUrgent,
+    });
+    this.polls = new PollBatcher({ now, after, send: (jobIds) => this.sendPolls(jobIds) });
     this.door = new UserDoor({
       clock: this.clock,
       options,
-      store: this.store,
+      store: {
+        get: (key, urgency) => this.reads.get(key, urgency),
+        txn: (conditions, changes, urgency) => this.store.txn(conditions, changes, urgency),
+      },
       finals: this.finals,
       teams: this.teams,
       catalog: () => this.catalog,
       leader: () => this.localLeader(),
       actAlone: () => this.election.actAlone(),
-      askLeader: (request, timeoutMs) => {
-        const leader = this.election.leader();
-        if (leader === null || leader === settings.host_name) return Promise.resolve(null);
-        return peers.ask(leader, request, timeoutMs);
-      },
+      askLeader: (request, timeoutMs) =>
+        request.kind === 'poll' ? this.polls.ask(request.jobId) : this.askLeader(request, timeoutMs),
       askOthers: (request, timeoutMs) => this.askOthers(request, timeoutMs),
     });
     this.reach = new Reach({
@@ -175,13 +190,14 @@
     );
     const limit = (initial: number, min: number, max: number, slackMs: number): AdaptiveLimit =>
       new AdaptiveLimit(now, { initial, min, max, slackMs, tolerance: 4 });
-    const { users_min, users_max, workers_min, workers_max } = options.http;
+    const { users_min, users_max, polls_min, polls_max, workers_min, workers_max } = options.http;
     // Each worker has one report in progress, over a socket of its own.
     const most = Math.max(workers_min, Math.min(workers_max, sockets));
     this.routes = new Routes({
       options,
       door: this.door,
       userLimit: limit(64, users_min, users_max, USER_SLACK_MS),
+      pollLimit: limit(64, polls_min, polls_max, USER_SLACK_MS),
       workerLimit: limit(most, workers_min, most, WORKER_SLACK_MS),
       post: (command) => {
         this.owner.post(command);
@@ -233,6 +249,10 @@
         reply({ kind: lately ? 'here' : 'unable' });
         return;
       }
+      if (request.kind === 'polls') {
+        reply({ kind: 'answers', answers: this.answerPolls(request.jobIds) });
+        return;
+      }
       if (request.kind !== 'promise') {
         this.door.onMesh(request, reply);
         return;
@@ -301,6 +321,25 @@
     if (heard && this.isCurrent(held)) this.election.yieldFor(YIELD_MS, 'workers reach others only');
   }
 
+  private askLeader(request: MeshRequest, timeoutMs: number): Promise<MeshReply | null> {
+    const leader = this.election.leader();
+    if (leader === null || leader === this.settings.host_name) return Promise.resolve(null);
+    return this.platform.peers.ask(leader, request, timeoutMs);
+  }
+
+  private async sendPolls(jobIds: string[]): Promise<readonly PollAnswer[] | null> {
+    const reply = await this.askLeader({ kind: 'polls', jobIds }, this.options.users.forward_ms);
+    return reply?.kind === 'answers' ? reply.answers : null;
+  }
+
+  private answerPolls(jobIds: readonly string[]): PollAnswer[] {
+    return answerBatch(jobIds, (jobId, reply) => {
+      this.door.onMesh({ kind: 'poll', jobId }, (answer) => {
+        reply(answer.kind === 'status' || answer.kind === 'unknown' ? answer : { kind: 'unable' });
+      });
+    });
+  }
+
   private async askOthers(request: MeshRequest, timeoutMs: number): Promise<MeshReply | null> {
     if (this.clock.now() - this.othersFailedAt < OTHERS_PAUSE_MS) return null;
     const reply = await askAny(this.platform.peers, request, timeoutMs, (r) => r.kind !== 'unable');
@@ -350,7 +389,11 @@
         clock: this.clock,
         log: this.log,
         surelyLeading: () => this.isCurrent(held) && this.election.surelyLeading(),
-        order: (machine, commands) => this.workers.order(machine, held.term, commands),
+        order: (machine, commands) => {
+          const starts = commands.some((c) => c.op === 'start');
+          const mayStart = (): boolean => this.isCurrent(held) && this.election.surelyLeading();
+          return this.workers.order(machine, held.term, commands, starts ? mayStart : () => true);
+        },
         inspect: (machine) => this.workers.inspect(machine),
         final: (id, status) => {
           this.finals.put(id, status);
--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -57,11 +57,11 @@
       zones: deps.zones,
       options,
       term: deps.term,
+      surelyLeading: () => host.surelyLeading(),
       post: (command) => {
         host.post(command);
       },
       pause: (ms) => host.pause(ms),
-      surelyLeading: () => host.surelyLeading(),
       returning: (names) => {
         this.markReturning(names);
       },
