--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -18,7 +18,7 @@
 import type { JobStatus } from '../wire/user.ts';
 import type { Command, Report } from '../wire/worker.ts';
 import { Machine, type MachineIdentity } from '../workers/machine.ts';
-import { applyReport, commandsFor, isNewer, loseAll } from '../workers/reconcile.ts';
+import { applyReport, commandsFor, isNewer, loseAll, noteAnswer } from '../workers/reconcile.ts';
 import { Roster } from '../workers/roster.ts';
 
 const QUICK_IMAGES = 64;
@@ -58,6 +58,7 @@
       zones: deps.zones,
       options,
       term: deps.term,
+      surelyLeading: () => host.surelyLeading(),
       post: (command) => {
         host.post(command);
       },
@@ -77,8 +78,7 @@
     this.endings = new Endings(this.cluster, deps);
     this.attempts = new Attempts(this.cluster, this.gangs, this.endings, deps);
     this.orders = new Orders(this.cluster, deps, (report) => {
-      // Only of machines that are still there: an answer can be older than the machine's end.
-      if (!this.stopped && this.cluster.machines.has(report.machine)) this.takeReport(report, true);
+      this.onDirectReport(report);
     });
     this.rounds = new Rounds(this.cluster, this.fleet, views, this.attempts, deps);
     this.watch = new Watch(
@@ -271,20 +271,36 @@
       this.deps.host.superseded();
       return null;
     }
+    // Until the state is read no cancellation is known: an answer would renew the lease of tasks that must be gone
+    // within `cancel_s`, without stopping them. Their worker tries again a second later.
+    if (!this.loaded && report.tasks.length > 0) return null;
     const machine = this.loaded ? this.takeReport(report, false) : null;
     if (!machine) {
       // Answered all the same, so its lease may be renewed before its machine is known here.
       this.answeredEarly = this.now();
       return [];
     }
-    return commandsFor(machine, this.orders.mayStartOn(machine));
+    const commands = commandsFor(machine, this.orders.mayStartOn(machine));
+    noteAnswer(machine, commands);
+    return commands;
+  }
+
+  /** What a worker answered to orders or to a question. Answers still come after the end of this leadership. */
+  private onDirectReport(report: Report): void {
+    if (this.stopped) return;
+    if (report.token > this.term) {
+      this.deps.host.superseded();
+      return;
+    }
+    // Only of machines that are still there: an answer can be older than the machine's end.
+    if (this.cluster.machines.has(report.machine)) this.takeReport(report, true);
   }
 
   private takeReport(report: Report, direct: boolean): Machine | null {
     const now = this.now();
     const machine = this.cluster.machines.get(report.machine) ?? this.newcomer(report);
     if (!machine) return null;
-    if (!isNewer(machine, report)) {
+    if (!isNewer(machine, report) || this.writtenOff(machine, report)) {
       // Sent before the newest message that was heard, so the lease that its answer renews counts from before that.
       if (!direct) machine.answeredAt = Math.max(machine.answeredAt, machine.heardAt);
       return machine;
@@ -309,6 +325,15 @@
     return machine;
   }
 
+  /**
+   * Once nothing that an earlier leader started can be on a machine, a report without our token is a copy from
+   * before, or of a worker that has lost everything: it shows no task that still counts. Of a machine that was given
+   * up unheard, such a copy once brought back tasks that tied their job to the wrong zone.
+   */
+  private writtenOff(machine: Machine, report: Report): boolean {
+    return machine.accounted && report.token !== this.term;
+  }
+
   /**
    * A machine nobody here knows. With a token from before, it is a new worker that has seen no answer of ours
    * yet, and will report again once it has; or a copy of an old report, of a machine that is gone: what holds
--- a/src/jobs/door.ts
+++ b/src/jobs/door.ts
@@ -4,7 +4,7 @@
 import { failure, type Answer, type Reply } from '../http/server.ts';
 import type { MeshReply, MeshRequest } from '../mesh/frames.ts';
 import { KEYS } from '../store/keys.ts';
-import type { StoreClient } from '../store/client.ts';
+import type { StoreClient, Urgency } from '../store/client.ts';
 import {
   decodeJob,
   encodeStatus,
@@ -30,7 +30,7 @@
 export interface DoorDeps {
   clock: Clock;
   options: Options;
-  store: StoreClient;
+  store: Pick<StoreClient, 'get' | 'txn'>;
   finals: FinalCache;
   teams: readonly TeamLimits[];
   catalog(): Catalog | null;
@@ -91,10 +91,11 @@
     if (!decoded.ok) return this.unlessKnown(id, failure(400, decoded.reason));
     const job = decoded.value;
     const catalog = this.deps.catalog();
-    if (!catalog) return this.unlessKnown(id, this.busy('machine types not known yet'));
     const team = this.deps.teams.find((t) => t.name === job.team);
+    // An unknown team or a limit that is too small needs no machine types to be told.
     const never = impossible(job, team, catalog);
     if (never !== null) return this.unlessKnown(id, failure(422, never));
+    if (!catalog) return this.unlessKnown(id, this.busy('machine types not known yet'));
     const created = await this.create(job);
     if (created.kind === 'created') return this.found(id, PENDING, 201);
     if (created.kind === 'status') return this.found(id, created.status);
@@ -115,13 +116,13 @@
 
   /** A job whose end is being written: only the store can say whether it is over. */
   private async stateOfUncertain(id: string): Promise<Answer> {
-    const looked = await this.lookWithHelp(id);
+    const looked = await this.lookHereOrElsewhere(id, 'user');
     return looked.kind === 'status' ? this.found(id, looked.status) : this.busy('state not known now');
   }
 
   /** A known job is answered with its state, whatever else was sent with its id. */
   private async unlessKnown(id: string, otherwise: Answer): Promise<Answer> {
-    const looked = await this.look(id);
+    const looked = await this.lookHereOrElsewhere(id, 'user');
     if (looked.kind === 'status') return this.found(id, looked.status);
     return looked.kind === 'missing' ? otherwise : this.busy('the state service can not be reached');
   }
@@ -154,14 +155,17 @@
     return this.deps.leader()?.view(id) ?? { kind: 'unknown' };
   }
 
-  poll(id: string, reply: Reply): void {
-    if (!isJobId(id)) {
-      reply(failure(404, 'no such job'));
-      return;
-    }
+  /** The answer to a poll that needs nobody else, or null. */
+  pollFromMemory(id: string): Answer | null {
+    if (!isJobId(id)) return failure(404, 'no such job');
     const known = this.view(id);
-    if (known.kind === 'status') {
-      reply(this.found(id, known.status));
+    return known.kind === 'status' ? this.found(id, known.status) : null;
+  }
+
+  poll(id: string, reply: Reply): void {
+    const known = this.pollFromMemory(id);
+    if (known) {
+      reply(known);
       return;
     }
     void this.lookEverywhere(id).then((looked) => {
@@ -173,7 +177,7 @@
 
   private async lookEverywhere(id: string): Promise<Finding> {
     const told = await this.timely(() => this.askLeader(id));
-    return told.kind === 'status' ? told : this.lookWithHelp(id);
+    return told.kind === 'status' ? told : this.lookHereOrElsewhere(id, 'poll');
   }
 
   /** The leader answers from memory, so that a job it doesn't know may exist all the same. */
@@ -184,8 +188,8 @@
   }
 
   /** A fresh look. Perhaps the state service refuses this node alone; what others find is as fresh. */
-  private async lookWithHelp(id: string): Promise<Finding> {
-    const looked = await this.look(id);
+  private async lookHereOrElsewhere(id: string, urgency: Urgency): Promise<Finding> {
+    const looked = await this.look(id, urgency);
     if (looked.kind !== 'unable') return looked;
     const { forward_ms } = this.deps.options.users;
     return this.timely(async () =>
@@ -198,16 +202,16 @@
     return { kind: reply?.kind === 'unknown' ? 'missing' : 'unable' };
   }
 
-  private look(id: string): Promise<Finding> {
-    return this.timely(() => this.readRecords(id));
+  private look(id: string, urgency: Urgency = 'user'): Promise<Finding> {
+    return this.timely(() => this.readRecords(id, urgency));
   }
 
   /** A read of the store: the open record first, since a job only ever moves from open to final. */
-  private async readRecords(id: string): Promise<Finding> {
-    const open = await this.deps.store.get(KEYS.open(id), 'user');
+  private async readRecords(id: string, urgency: Urgency): Promise<Finding> {
+    const open = await this.deps.store.get(KEYS.open(id), urgency);
     if (open.kind !== 'ok') return { kind: 'unable' };
     if (open.value) return { kind: 'status', status: this.statusOfOpen(id) };
-    const final = await this.deps.store.get(KEYS.final(id), 'user');
+    const final = await this.deps.store.get(KEYS.final(id), urgency);
     if (final.kind !== 'ok') return { kind: 'unable' };
     if (!final.value) return { kind: 'missing' };
     const status = readFinal(final.value.value);
@@ -306,7 +310,7 @@
   // ---- requests handed over by other nodes ----
 
   onMesh(
-    request: Exclude<MeshRequest, { kind: 'promise' | 'ping' | 'workers' }>,
+    request: Exclude<MeshRequest, { kind: 'promise' | 'ping' | 'workers' | 'polls' }>,
     reply: (reply: MeshReply) => void,
   ): void {
     const answer = (looked: Finding): void => {
@@ -320,7 +324,7 @@
     } else if (request.kind === 'look') {
       const known = this.view(request.jobId);
       if (known.kind === 'status') answer(known);
-      else void this.look(request.jobId).then(answer);
+      else void this.look(request.jobId, 'poll').then(answer);
     } else if (request.kind === 'cancel') {
       if (this.deps.leader()) void this.cancelAsLeader(request.jobId).then(answer);
       else answer({ kind: 'unable' });
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -1,4 +1,4 @@
-import { HttpClient, type HttpResult } from '../http/client.ts';
+import type { HttpResult, HttpSender } from '../http/client.ts';
 import type { Logger } from '../core/log.ts';
 import type { Decoded } from '../wire/amounts.ts';
 import * as wire from '../wire/state.ts';
@@ -14,8 +14,13 @@
   | { kind: 'unknown' };
 
 /** How urgent a call is: each less urgent kind leaves permits in the budget for the ones before it. */
-export type Urgency = 'lease' | 'user' | 'background';
-const RESERVE: Record<Urgency, number> = { lease: 0, user: 0.1, background: 0.35 };
+export type Urgency = 'lease' | 'user' | 'background' | 'poll';
+/** Shares of the budget that each kind leaves to the others. Users ask at any rate: theirs is what is left over. */
+const RESERVE: Record<Urgency, number> = { lease: 0, user: 0.1, background: 0.35, poll: 0.4 };
+
+export function moreUrgent(first: Urgency, second: Urgency): boolean {
+  return RESERVE[first] < RESERVE[second];
+}
 
 const READ_TIMEOUT_MS = 1500;
 const WRITE_TIMEOUT_MS = 2000;
@@ -25,25 +30,26 @@
 
 /** The state service by its published protocol, within this node's share of its request budget. */
 export class StoreClient {
-  private readonly http: HttpClient;
-  private readonly watchHttp: HttpClient;
+  private readonly http: HttpSender;
+  private readonly watchHttp: HttpSender;
   /** Of its own, so that renewals of leases wait for nothing else. */
-  private readonly leaseHttp: HttpClient;
+  private readonly leaseHttp: HttpSender;
   private readonly budget: RateBudget;
   private readonly rps: number;
   /** When the service last served this node: an answer that is neither a refusal nor an outage's. */
   servedAt: number;
 
   constructor(
-    address: string,
+    /** Makes a client of the state service with so many connections. */
+    connect: (connections: number) => HttpSender,
     limits: { rps: number; nodes: number },
     private readonly now: () => number,
     private readonly log: Logger,
   ) {
     this.servedAt = now();
-    this.http = new HttpClient(address, 16);
-    this.watchHttp = new HttpClient(address, 4);
-    this.leaseHttp = new HttpClient(address, 4);
+    this.http = connect(16);
+    this.watchHttp = connect(4);
+    this.leaseHttp = connect(4);
     // The limit is shared by all nodes and a burst at one must not starve the leader's lease.
     this.rps = limits.rps * Math.min(0.5, OVERCOMMITTED / limits.nodes);
     this.budget = new RateBudget(this.rps, now);
--- /dev/null
+++ b/test/core/leader.test.ts
@@ -0,0 +1,109 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import { jobOf, LeaderHarness, reportOf, task, TERM } from './harness.ts';
+
+const OLD = TERM - 1;
+
+test('a copy of an old report of a machine that was given up unheard ties no job to its zone', async () => {
+  const h = new LeaderHarness();
+  h.cloudUp = false;
+  const job = jobOf('req-000001', { loaves: 12, samePlace: true });
+  const other = jobOf('req-000002', { loaves: 1 });
+  h.load(
+    [job, other],
+    [
+      ['n-lost', 'a'],
+      ['n-a', 'a'],
+      ['n-b', 'b'],
+    ],
+  );
+  // An earlier leader left two tasks in zone b; nothing is heard of the lost machine until its lease is over.
+  const a = h.worker('n-a', 'a').put(task(other.id, 0, 2));
+  const b = h
+    .worker('n-b', 'b')
+    .put(task(job.id, 0, 1))
+    .put(task(job.id, 1, 1));
+  await h.pass(26);
+  assert.deepEqual(b.running(job.id), [0, 1], 'the lost machine may hold any of the others');
+  await h.pass(2);
+  assert.equal(b.running(job.id).length, 4);
+  const copy = reportOf('n-lost', 'a', { session: 3, seq: 40, token: OLD }, [task(job.id, 11, 1)]);
+  assert.deepEqual(h.leader.onReport(copy), []);
+  // The tasks end one by one, so that there are always others in zone b.
+  for (let round = 0; round < 6; round++) {
+    const first = [...b.tasks.values()].find((t) => t.phase === 'running')!;
+    b.put({ ...first, phase: 'ended', cause: 'done' });
+    await h.pass(3);
+    assert.equal(a.running(job.id).length, 0);
+    assert.equal(b.running(job.id).length, 4);
+  }
+});
+
+test('a higher token in the answer to an order ends the leadership, one that comes after its end does not', async () => {
+  // A node that leads again within a second once lost its new lead to what it heard about its old one.
+  const higher = reportOf('n-1', 'a', { session: 1, seq: 2, token: TERM + 1 });
+  const ordered = async (): Promise<LeaderHarness> => {
+    const h = new LeaderHarness();
+    h.load([], [['n-1', 'a']]);
+    h.leader.onReport(reportOf('n-1', 'a', { session: 1, seq: 1, token: OLD }));
+    await h.pass(6);
+    return h;
+  };
+  const h = await ordered();
+  h.orders[0]!.answer({ report: higher, executed: false });
+  await h.pass(1);
+  assert.equal(h.superseded, 1);
+
+  const ended = await ordered();
+  ended.leader.stop();
+  ended.orders[0]!.answer({ report: higher, executed: false });
+  await ended.pass(1);
+  assert.equal(ended.superseded, 0);
+});
+
+test('what a worker of a newer leader answers to a question is not taken in', async () => {
+  const h = new LeaderHarness();
+  const job = jobOf('req-000001');
+  h.load([job], [['n-1', 'a']]);
+  await h.pass(5);
+  const order = { session: 1, seq: 1, token: TERM + 1 };
+  h.inspected[0]!.answer(reportOf('n-1', 'a', order, [task(job.id, 0, 9)]));
+  await h.pass(1);
+  const known = h.leader.view(job.id);
+  assert.ok(known.kind === 'status');
+  assert.equal(known.status.running, 0);
+});
+
+test('a leader that is not sure to lead takes no silent machine for lost and returns none', async () => {
+  // Held back by the same cut, its requests once could end machines on which the next leader ran tasks.
+  const h = new LeaderHarness();
+  h.load([], [['n-1', 'a']]);
+  h.leader.onReport(reportOf('n-1', 'a', { session: 1, seq: 1, token: TERM }));
+  const deaf = (): void => {
+    for (const question of h.inspected.splice(0)) question.answer(null);
+  };
+  h.sure = false;
+  for (let s = 0; s < 60; s++) {
+    await h.pass(1);
+    deaf();
+  }
+  assert.deepEqual(h.returned, []);
+  h.sure = true;
+  for (let s = 0; s < 3; s++) {
+    await h.pass(1);
+    deaf();
+  }
+  assert.deepEqual(h.returned, ['n-1']);
+});
+
+test('a leader that has not read the state yet renews the lease of no task, which may be cancelled', () => {
+  // With a state service that answers slowly, or not at all after the takeover, tasks once went on past cancel_s.
+  const h = new LeaderHarness();
+  const running = [task('req-000001', 0, 1)];
+  const report = (seq: number, token = OLD) => reportOf('n-1', 'a', { session: 1, seq, token }, running);
+  assert.equal(h.leader.onReport(report(1)), null);
+  assert.deepEqual(h.leader.onReport(reportOf('n-2', 'a', { session: 1, seq: 1, token: OLD })), []);
+  h.load([], [['n-1', 'a']]);
+  const stop = { op: 'stop', jobId: 'req-000001', task: 0, attempt: 1, graceS: 0 };
+  assert.deepEqual(h.leader.onReport(report(2)), [stop], 'the job is not open any more');
+});
