Only jobs that are ending are noted as perhaps written

Other changes to a job's open record (notes, a final record moved later) say nothing of its end, and would have stayed noted for as long as the leadership lasts. EndWrites now asks the leader which jobs are ending, and passes on whatever else a transaction is called with.

--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -368,7 +368,7 @@
     }
     if (!this.isCurrent(held) || fence.kind !== 'ok') return;
     const { state } = this.settings.settings;
-    const endWrites = new EndWrites();
+    const endWrites = new EndWrites((id) => leader.isEnding(id));
     const writer = new LeaderWriter(
       {
         txn: endWrites.noting((conditions, changes) => this.store.txn(conditions, changes, 'lease')),
@@ -387,7 +387,7 @@
       new RateBudget(state.write_rps * 0.7, () => this.clock.now()),
       this.log,
     );
-    const leader = new Leader({
+    const leader: Leader = new Leader({
       host: {
         clock: this.clock,
         log: this.log,
--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -229,6 +229,11 @@
     if (this.loaded && !this.cluster.over.has(id) && !this.deps.host.isFinal(id)) this.addJob(id, value);
   }
 
+  /** The job is to end, and its final record isn't known to be durable. */
+  isEnding(id: string): boolean {
+    return this.cluster.jobs.get(id)?.endUnconfirmed ?? false;
+  }
+
   /** What this leader can say of a job as of now. */
   view(id: string): LeaderView {
     if (!this.loaded || !this.deps.host.surelyLeading()) return { kind: 'unknown' };
--- a/src/jobs/end-writes.ts
+++ b/src/jobs/end-writes.ts
@@ -2,12 +2,17 @@
 import { KEYS } from '../store/keys.ts';
 import type { Change, Condition } from '../wire/state.ts';
 
-type Transact = (conditions: readonly Condition[], changes: readonly Change[]) => Promise<TxnResult>;
+type Transact<Rest extends unknown[]> = (
+  conditions: readonly Condition[],
+  changes: readonly Change[],
+  ...rest: Rest
+) => Promise<TxnResult>;
 
 /** `sent`: every attempt so far was refused, the last one is under way. */
 type Attempt = 'sent' | 'perhaps carried out';
 
-function endedJobs(changes: readonly Change[]): string[] {
+/** The jobs whose open records a transaction changes. */
+function changedJobs(changes: readonly Change[]): string[] {
   const keys = changes.map((change) => ('put' in change ? change.put : change.delete));
   return keys
     .filter((key) => key.startsWith(KEYS.openPrefix))
@@ -15,19 +20,22 @@
 }
 
 /**
- * Of which jobs the final record may be in the state service by now, as far as a leader's transactions tell. The end
- * of a job is the only change that a leader makes to its open record. An end that waits to be sent, or that was
- * always refused (as in an outage), has surely not been written, so its job is still open for certain.
+ * Of which jobs the final record may be in the state service by now, as far as a leader's transactions tell. Once a
+ * job is to end, its end is the only change that the leader makes to its open record. An end that waits to be sent,
+ * or that was always refused (as in an outage), has surely not been written, so its job is still open for certain.
  */
 export class EndWrites {
   private readonly attempts = new Map<string, Attempt>();
 
+  /** `isEnding`: the leader has begun to end this job, and the end isn't known to be durable. */
+  constructor(private readonly isEnding: (id: string) => boolean) {}
+
   /** The same transactions, with their outcomes noted. */
-  noting(transact: Transact): Transact {
-    return async (conditions, changes) => {
-      const ids = endedJobs(changes);
+  noting<Rest extends unknown[]>(transact: Transact<Rest>): Transact<Rest> {
+    return async (conditions, changes, ...rest) => {
+      const ids = changedJobs(changes).filter((id) => this.isEnding(id));
       for (const id of ids) if (!this.attempts.has(id)) this.attempts.set(id, 'sent');
-      const result = await transact(conditions, changes);
+      const result = await transact(conditions, changes, ...rest);
       for (const id of ids) this.answered(id, result);
       return result;
     };
--- a/test/jobs/controllers.ts
+++ b/test/jobs/controllers.ts
@@ -394,7 +394,7 @@
     const { life } = c;
     const current = (): boolean => c.life === life && c.held === held;
     const later = (ms: number): Promise<void> => this.sim.pause(ms);
-    const endWrites = new EndWrites();
+    const endWrites = new EndWrites((id) => leader.isEnding(id));
     const options = defaultOptions();
     // Nothing is placed here: the test's own machine runs what is to be done.
     options.scheduling.takeover_wait_s = 1e6;
--- a/test/model/world.ts
+++ b/test/model/world.ts
@@ -316,7 +316,7 @@
     const { life } = c;
     const current = (): boolean => c.alive && c.life === life && c.held === held;
     const options = defaultOptions();
-    const endWrites = new EndWrites();
+    const endWrites = new EndWrites((id) => leader.isEnding(id));
     const writer = new LeaderWriter(
       {
         txn: endWrites.noting((conditions, changes) => {
