A leadership that lapsed becomes sure again only if nobody acted without it

Cause: the others' promises in an outage were given to whoever believed to lead. A leader that the state service had refused alone until its lease was over got them once the outage came for all, after another controller had confirmed cancellations or even led, and went on telling those jobs as running and starting their tasks.

Change: a promise request says whether the asker is still sure. After a gap, a controller promises only if its present process has read that term in the leader key and none of its steps that need a leader's absence was, or may yet be, carried out in it. Such a step belongs to a term: it reads the term, then sees the leader key absent, and its transaction requires both unchanged, so that a late copy fails once another leadership began. An old leader that is asked by a newer one steps down and promises.

--- a/src/core/service.ts
+++ b/src/core/service.ts
@@ -10,6 +10,7 @@
 import { FinalCache } from '../jobs/finals.ts';
 import type { TeamLimits } from '../jobs/admission.ts';
 import { Election, leaseMs, type Leadership } from '../leadership/election.ts';
+import { cancellationCanHold, reportGraceMs } from '../leadership/grace.ts';
 import type { MeshReply, MeshRequest } from '../mesh/frames.ts';
 import { Mesh } from '../mesh/mesh.ts';
 import { Reach } from '../mesh/reach.ts';
@@ -124,9 +125,14 @@
       gpusMax: t.gpus_max,
     }));
     this.zones = new Intern(zones);
-    // With the workers' lease it must stay within the time of a cancellation.
-    this.graceMs =
-      Math.min(options.leadership.grace_s, Math.max(0, (workers.cancel_s - workers.lease_s) * 0.6)) * 1000;
+    const times = { cancelS: workers.cancel_s, leaseS: workers.lease_s };
+    this.graceMs = reportGraceMs(options.leadership.grace_s, times);
+    if (!cancellationCanHold(times)) {
+      log.warn(
+        times,
+        'cancel_s leaves less time than lease_s: tasks on machines that are cut off outlive a cancellation',
+      );
+    }
     const peers = settings.seeds.map((s) => ({ name: s.host_name, address: s.peer_addr }));
     this.peers = peers.map((p) => p.name);
     this.mesh = new Mesh(
@@ -146,7 +152,7 @@
             this.door.onMesh(request, reply);
             return;
           }
-          void this.election.promise(request.ms).then((given) => {
+          void this.election.promise(request).then((given) => {
             reply({ kind: given ? 'promised' : 'unable' });
           });
         });
@@ -161,7 +167,7 @@
       teams: this.teams,
       catalog: () => this.catalog,
       leader: () => this.localLeader(),
-      actAlone: () => this.election.actAlone(),
+      actAlone: (urgency) => this.election.actAlone(urgency),
       askLeader: (request, timeoutMs) => {
         const leader = this.election.leader();
         if (leader === null || leader === settings.host_name) return Promise.resolve(null);
@@ -199,9 +205,9 @@
       undefined,
       // Only the promises of all other controllers together say anything.
       peers.length === settings.settings.nodes - 1
-        ? async (term, ms) => {
+        ? async (request) => {
             const asked = peers.map((p) =>
-              this.mesh.ask(p.name, { kind: 'promise', term, ms }, PROMISE_WAIT_MS),
+              this.mesh.ask(p.name, { kind: 'promise', ...request }, PROMISE_WAIT_MS),
             );
             return (await Promise.all(asked)).every((reply) => reply?.kind === 'promised');
           }
--- a/src/jobs/door.ts
+++ b/src/jobs/door.ts
@@ -2,9 +2,10 @@
 import type { Options } from '../config/options.ts';
 import type { Catalog } from '../fleet/catalog.ts';
 import { failure, type Answer, type Reply } from '../http/server.ts';
+import type { LeaderlessStep } from '../leadership/election.ts';
 import type { MeshReply, MeshRequest } from '../mesh/frames.ts';
 import { KEYS } from '../store/keys.ts';
-import type { StoreClient } from '../store/client.ts';
+import type { StoreClient, Urgency } from '../store/client.ts';
 import {
   decodeJob,
   encodeStatus,
@@ -33,8 +34,8 @@
   teams: readonly TeamLimits[];
   catalog(): Catalog | null;
   leader(): LocalLeader | null;
-  /** Begins a step that is only allowed without a leader; the result ends it. null: not now. */
-  actAlone(): (() => void) | null;
+  /** Begins a step that needs a leader's absence. null: not now, or there is a leader. */
+  actAlone(urgency: Urgency): Promise<LeaderlessStep | null>;
   /** Asks the leading node; null when there is none or it doesn't answer. */
   askLeader(request: MeshRequest, timeoutMs: number): Promise<MeshReply | null>;
   /** Asks all other nodes, for when this one alone can't help; null when none of them can. */
@@ -189,15 +190,8 @@
     const request: MeshRequest = { kind: 'cancel', jobId: id };
     const first = this.lookedBy(await this.deps.askLeader(request, CANCEL_FORWARD_MS));
     if (first.kind !== 'unable') return first;
-    const end = this.deps.actAlone();
-    if (end) {
-      try {
-        const alone = await this.cancelWithoutLeader(id);
-        if (alone.kind !== 'unable') return alone;
-      } finally {
-        end();
-      }
-    }
+    const alone = await this.cancelWithoutLeader(id);
+    if (alone.kind !== 'unable') return alone;
     // This node may know of no leader, or of one that was, while another leads.
     return this.lookedBy(await this.deps.askOthers(request, CANCEL_FORWARD_MS));
   }
@@ -227,15 +221,15 @@
 
   /** Only while no node holds the leader key: a leader would go on telling what it knows. */
   private async cancelWithoutLeader(id: string): Promise<Looked> {
+    const step = await this.deps.actAlone('user');
+    if (!step) return { kind: 'unable' };
     const open = await this.deps.store.get(KEYS.open(id), 'user');
-    if (open.kind !== 'ok') return { kind: 'unable' };
-    if (!open.value) return this.look(id);
-    if (!readOpen(open.value.value)) return { kind: 'unable' };
-    const result = await this.deps.store.txn(
-      [
-        { key: KEYS.leader, version: 0 },
-        { key: KEYS.open(id), version: open.value.version },
-      ],
+    if (open.kind !== 'ok' || !open.value || !readOpen(open.value.value)) {
+      step.abandon();
+      return open.kind === 'ok' && !open.value ? this.look(id) : { kind: 'unable' };
+    }
+    const result = await step.commit(
+      [{ key: KEYS.open(id), version: open.value.version }],
       [{ delete: KEYS.open(id) }, { put: KEYS.final(id), value: finalValue('cancelled', 0) }],
       'user',
     );
--- a/src/leadership/election.ts
+++ b/src/leadership/election.ts
@@ -2,7 +2,15 @@
 import type { Logger } from '../core/log.ts';
 import { DRIFT, type Clock } from '../core/clock.ts';
 import { KEYS } from '../store/keys.ts';
-import type { StoreClient } from '../store/client.ts';
+import type { StoreClient, StoreResult, TxnResult, Urgency } from '../store/client.ts';
+import type { Change, Condition, Item } from '../wire/state.ts';
+import {
+  countedUntil,
+  PROMISE_MS,
+  PromiseLedger,
+  type PromiseRequest,
+  type StepOutcome,
+} from './promises.ts';
 
 /** What the election needs of the state service. */
 export type LeaseStore = Pick<StoreClient, 'get' | 'txn' | 'grant' | 'renew' | 'revoke' | 'watch'>;
@@ -27,10 +35,18 @@
   renewMs: number;
 }
 
+/** A step that needs a leader's absence; it must be ended by one of the two calls. Nothing is promised meanwhile. */
+export interface LeaderlessStep {
+  /** The last term that was won. */
+  readonly term: number;
+  /** Sends the step's transaction, conditional on the leader's absence and the step's term, and ends the step. */
+  commit(conditions: readonly Condition[], changes: readonly Change[], urgency: Urgency): Promise<TxnResult>;
+  /** Ends the step without having sent anything. */
+  abandon(): void;
+}
+
 const MOST_DELAY_MS = 120;
 const MOST_RENEWALS = 4;
-/** How long a promise not to stand holds. A node that starts knows of none it gave, and waits this long. */
-export const PROMISE_MS = 1500;
 
 /** A node with less of a core than this reads answers later, and its lease is longer in proportion. */
 const FULL_SHARE = 0.14;
@@ -59,12 +75,9 @@
   private startedAt = 0;
   /** The other controllers have all promised not to stand until then. */
   private extendedUntil = -Infinity;
-  /** What this node has promised. */
-  private promisedUntil = -Infinity;
+  private readonly ledger: PromiseLedger;
   /** Not standing before: others can do what this node can't. */
   private restUntil = -Infinity;
-  /** Steps under way that are only allowed without a leader. */
-  private acting = 0;
 
   constructor(
     private readonly node: string,
@@ -77,9 +90,11 @@
     private readonly log: Logger,
     private readonly pause: (ms: number) => Promise<void> = (ms) =>
       new Promise((resolve) => setTimeout(resolve, ms)),
-    /** Asks all other controllers to promise; null where promises are not used. */
-    private readonly askPromises: ((term: number, ms: number) => Promise<boolean>) | null = null,
-  ) {}
+    /** Asks all other controllers to promise; true if every one did. null where promises are not used. */
+    private readonly askPromises: ((request: PromiseRequest) => Promise<boolean>) | null = null,
+  ) {
+    this.ledger = new PromiseLedger(clock.now());
+  }
 
   start(): void {
     this.startedAt = this.clock.now();
@@ -109,30 +124,57 @@
   }
 
   /**
-   * Begins a step that is only allowed while no leader can be extended by promises; the result ends it. null:
-   * not now.
+   * Begins a step that needs a leader's absence. null: not now, or there is a leader. The term is read before the
+   * leader key is seen absent, so a step that is sent belongs to a term whose lease is over for good; and its
+   * transaction can't be carried out once another term has begun.
    */
-  actAlone(): (() => void) | null {
-    const now = this.clock.now();
-    if (now < this.promisedUntil || now < this.startedAt + PROMISE_MS * (1 + DRIFT) + 20) return null;
-    this.acting += 1;
-    return () => {
-      this.acting -= 1;
+  async actAlone(urgency: Urgency): Promise<LeaderlessStep | null> {
+    if (this.leadership || !this.ledger.mayStep(this.clock.now())) return null;
+    const term = await this.readTerm(urgency);
+    if (!term || this.leadership || !this.ledger.beginStep(this.clock.now())) return null;
+    const end = (outcome: StepOutcome): void => {
+      this.ledger.endStep(term.n, outcome);
+    };
+    const found = await this.readLeader(urgency);
+    if (found.kind !== 'ok' || found.value !== null) {
+      end('not_executed');
+      return null;
+    }
+    return {
+      term: term.n,
+      commit: async (conditions, changes, how) => {
+        const absent = [
+          { key: KEYS.leader, version: 0 },
+          { key: KEYS.term, version: term.version },
+        ];
+        const result = await this.store.txn([...absent, ...conditions], changes, how);
+        end(outcomeOf(result));
+        return result;
+      },
+      abandon: () => {
+        end('not_executed');
+      },
     };
   }
 
   /**
-   * Asked by a leader that can't reach the state service: this node promises not to stand for a while, but only
-   * if it can't reach it either. Where the service can be reached, the lease decides.
+   * Asked by a leader that can't reach the state service: this node promises to begin no step that needs a leader's
+   * absence for a while, but only if it can't reach the service either. Where that can be reached, the lease decides.
    */
-  async promise(ms: number): Promise<boolean> {
-    if (this.leadership || this.acting > 0 || ms > PROMISE_MS) return false;
-    const seen = await this.store.get(KEYS.leader, 'lease');
-    if (seen.kind === 'ok' || this.leadership || this.acting > 0) return false;
-    this.promisedUntil = Math.max(this.promisedUntil, this.clock.now() + ms * (1 + DRIFT) + 20);
+  async promise(request: PromiseRequest): Promise<boolean> {
+    // Only who has won a term asks for it.
+    if (this.leadership && request.term > this.leadership.term) this.stepDown('a newer leader asks');
+    if (!this.mayPromise(request)) return false;
+    const seen = await this.readLeader('lease');
+    if (seen.kind === 'ok' || !this.mayPromise(request)) return false;
+    this.ledger.promise(request.ms, this.clock.now());
     return true;
   }
 
+  private mayPromise(request: PromiseRequest): boolean {
+    return this.leadership === null && this.ledger.mayPromise(request);
+  }
+
   leader(): string | null {
     return this.leadership ? this.node : this.knownLeader;
   }
@@ -156,6 +198,26 @@
     this.stepDown(reason);
   }
 
+  /** The leader key as the store has it now. */
+  private async readLeader(urgency: Urgency): Promise<StoreResult<Item | null>> {
+    const found = await this.store.get(KEYS.leader, urgency);
+    if (found.kind !== 'ok' || found.value === null) return found;
+    const record = leaderRecord.safeParse(found.value.value);
+    if (record.success) this.ledger.witness(record.data.term);
+    return found;
+  }
+
+  /** The last term that was won, and the version of its record; null: not known now. */
+  private async readTerm(urgency: Urgency): Promise<{ n: number; version: number } | null> {
+    const found = await this.store.get(KEYS.term, urgency);
+    if (found.kind !== 'ok') return null;
+    if (found.value === null) return { n: 0, version: 0 };
+    const record = termRecord.safeParse(found.value.value);
+    if (record.success) return { n: record.data.n, version: found.value.version };
+    this.log.error('term record is malformed');
+    return null;
+  }
+
   private async follow(): Promise<void> {
     let pauseMs = 100;
     while (!this.stopped) {
@@ -163,7 +225,7 @@
         await this.pause(200);
         continue;
       }
-      const found = await this.store.get(KEYS.leader, 'lease');
+      const found = await this.readLeader('lease');
       if (found.kind !== 'ok') {
         await this.pause(pauseMs + this.random() * 100);
         pauseMs = Math.min(800, pauseMs * 2);
@@ -205,36 +267,26 @@
 
   private async contend(): Promise<void> {
     if (this.clock.now() < this.restUntil) return this.pause(200);
-    const end = this.actAlone();
-    if (!end) return this.pause(50);
-    try {
-      await this.stand();
-    } finally {
-      end();
-    }
-  }
-
-  private async stand(): Promise<void> {
+    if (!this.ledger.mayStep(this.clock.now())) return this.pause(50);
     // When controllers are restarted one after the other, one that has just been is the safest choice.
     const upS = (this.clock.now() - this.startedAt) / 1000;
     await this.pause(Math.min(MOST_DELAY_MS, upS / 2) + this.random() * 20);
-    const term = await this.store.get(KEYS.term, 'lease');
-    if (term.kind !== 'ok') return this.pause(100);
-    const before = term.value === null ? null : termRecord.safeParse(term.value.value);
-    if (before && !before.success) {
-      this.log.error('term record is malformed');
-      return this.pause(1000);
-    }
-    const next = (before?.data?.n ?? 0) + 1;
+    const step = await this.actAlone('lease');
+    if (step) await this.stand(step);
+    else await this.pause(50);
+  }
+
+  private async stand(step: LeaderlessStep): Promise<void> {
+    const next = step.term + 1;
     const sentAt = this.clock.now();
     const lease = await this.store.grant(this.options.ttlMs);
-    if (lease.kind !== 'ok') return this.pause(100);
+    if (lease.kind !== 'ok') {
+      step.abandon();
+      return this.pause(100);
+    }
     const record = { node: this.node, term: next, nonce: this.nonce };
-    const result = await this.store.txn(
-      [
-        { key: KEYS.leader, version: 0 },
-        { key: KEYS.term, version: term.value?.version ?? 0 },
-      ],
+    const result = await step.commit(
+      [],
       [
         { put: KEYS.leader, value: record, lease: lease.value },
         { put: KEYS.term, value: { n: next } },
@@ -287,14 +339,29 @@
     state.asking = false;
   }
 
-  /** In an outage that all controllers see, the others' promises stand in for the lease. */
+  /**
+   * In an outage that all controllers see, the others' promises stand in for the lease. A leadership that is still
+   * sure when they arrive goes on without a gap; after a gap it is only sure again if the others can tell that
+   * nobody acted without a leader meanwhile.
+   */
   private async extend(held: Leadership): Promise<void> {
     if (!this.askPromises) return;
     const sentAt = this.clock.now();
-    if (!(await this.askPromises(held.term, PROMISE_MS)) || this.leadership !== held) return;
+    const continuous = this.surelyLeading();
+    const promised = await this.askPromises({ term: held.term, ms: PROMISE_MS, continuous });
+    if (!promised || this.leadership !== held || !this.ledger.hasNoStepIn(held.term)) return;
+    if (continuous && !this.surelyLeading()) return;
     if (this.clock.now() >= this.surelyUntil && this.extendedUntil < this.surelyUntil) {
-      this.log.info({ term: held.term }, 'state service not reached, the others promised not to stand');
+      this.log.info(
+        { term: held.term, continuous },
+        'state service not reached, the others promised not to act without a leader',
+      );
     }
-    this.extendedUntil = Math.max(this.extendedUntil, sentAt + PROMISE_MS * (1 - DRIFT) - 20);
+    this.extendedUntil = Math.max(this.extendedUntil, countedUntil(sentAt, PROMISE_MS));
   }
 }
+
+function outcomeOf(result: TxnResult): StepOutcome {
+  if (result.kind === 'ok') return 'executed';
+  return result.kind === 'unknown' ? 'unknown' : 'not_executed';
+}
--- /dev/null
+++ b/src/leadership/promises.ts
@@ -0,0 +1,91 @@
+import { DRIFT } from '../core/clock.ts';
+
+/** How long a promise not to act without a leader holds at most, in ms. */
+export const PROMISE_MS = 1500;
+
+/** Kept beside the drift of the clocks, in ms. */
+const MARGIN_MS = 20;
+
+/** A leader that can't renew its lease asks every other controller for this. */
+export interface PromiseRequest {
+  term: number;
+  ms: number;
+  /** The leader is still sure of its term; otherwise it asks to become sure again after a gap. */
+  continuous: boolean;
+}
+
+/**
+ * What became of a leaderless step. `unknown`: its transaction had no answer; it may have been carried out, or may
+ * be later.
+ */
+export type StepOutcome = 'not_executed' | 'executed' | 'unknown';
+
+/** When a promise of so many ms ends for the one who gave it, on its own clock: late rather than early. */
+export function keptUntil(givenAt: number, ms: number): number {
+  return givenAt + ms * (1 + DRIFT) + MARGIN_MS;
+}
+
+/** Until when the asker may count on it, on its own clock from when it asked: early rather than late. */
+export function countedUntil(askedAt: number, ms: number): number {
+  return askedAt + ms * (1 - DRIFT) - MARGIN_MS;
+}
+
+/**
+ * What one controller has promised to leaders, and what it did that needs a leader's absence ("leaderless steps":
+ * standing for leader, cancelling a job without one). A step belongs to the term that the store named when it
+ * began. The two exclude each other: docs/safety.md, "Promises in an outage".
+ */
+export class PromiseLedger {
+  private promisedUntil: number;
+  private openSteps = 0;
+  /** The highest term that this process has read in the leader key. */
+  private witnessedTerm = 0;
+  /** The highest term in which a step of this process was, or may yet be, carried out. */
+  private steppedTerm = -1;
+
+  /** A process knows of no promise that an earlier one gave under its name, so it keeps the longest possible one. */
+  constructor(startedAt: number) {
+    this.promisedUntil = keptUntil(startedAt, PROMISE_MS);
+  }
+
+  /** The leader key was read while it held this term. */
+  witness(term: number): void {
+    this.witnessedTerm = Math.max(this.witnessedTerm, term);
+  }
+
+  /** Whether a leaderless step may begin. */
+  mayStep(now: number): boolean {
+    return now >= this.promisedUntil;
+  }
+
+  /** Begins a step; false: not now. Until it ends nothing is promised. */
+  beginStep(now: number): boolean {
+    if (!this.mayStep(now)) return false;
+    this.openSteps += 1;
+    return true;
+  }
+
+  endStep(term: number, outcome: StepOutcome): void {
+    this.openSteps -= 1;
+    if (outcome !== 'not_executed') this.steppedTerm = Math.max(this.steppedTerm, term);
+  }
+
+  /** True if no step of this process can take effect in that term, neither one under way nor one sent before. */
+  hasNoStepIn(term: number): boolean {
+    return this.openSteps === 0 && term > this.steppedTerm;
+  }
+
+  /**
+   * Whether a leader of that term may be promised anything. One that asks after a gap needs more: this process must
+   * have read its term in the leader key, so that nothing its own earlier processes sent in that term can be left.
+   */
+  mayPromise(request: PromiseRequest): boolean {
+    if (request.ms > PROMISE_MS || request.term < this.witnessedTerm) return false;
+    if (!this.hasNoStepIn(request.term)) return false;
+    return request.continuous || this.witnessedTerm === request.term;
+  }
+
+  promise(ms: number, now: number): void {
+    this.promisedUntil = Math.max(this.promisedUntil, keptUntil(now, ms));
+  }
+}
--- a/src/mesh/frames.ts
+++ b/src/mesh/frames.ts
@@ -11,8 +11,11 @@
   | { kind: 'workers' }
   | { kind: 'cancel'; jobId: string }
   | { kind: 'submit'; jobId: string; body: string }
-  /** A leader without the state service asks for a promise not to stand against it. */
-  | { kind: 'promise'; term: number; ms: number };
+  /**
+   * A leader without the state service asks for a promise not to act without a leader. `continuous`: it is still
+   * sure of its term.
+   */
+  | { kind: 'promise'; term: number; ms: number; continuous: boolean };
 
 export type MeshStage = 'pending' | 'running' | 'done' | 'cancelled';
 
@@ -53,6 +56,7 @@
             { name: 'body', type: 'string' },
             { name: 'term', type: 'long' },
             { name: 'ms', type: 'int' },
+            { name: 'continuous', type: 'boolean' },
           ],
         },
       ],
@@ -95,7 +99,14 @@
 
 interface RawFrame {
   id: number;
-  request: { kind: MeshRequest['kind']; jobId: string; body: string; term: number; ms: number } | null;
+  request: {
+    kind: MeshRequest['kind'];
+    jobId: string;
+    body: string;
+    term: number;
+    ms: number;
+    continuous: boolean;
+  } | null;
   reply: {
     kind: MeshReply['kind'];
     created: boolean;
@@ -107,7 +118,7 @@
   } | null;
 }
 
-const NO_REQUEST = { jobId: '', body: '', term: 0, ms: 0 } as const;
+const NO_REQUEST = { jobId: '', body: '', term: 0, ms: 0, continuous: false } as const;
 const NO_REPLY = { created: false, stage: 'pending', done: 0, running: 0, status: 0, reason: '' } as const;
 
 /** Frames are a 4-byte length and the record. Jobs are at most 64 KiB, so anything longer is not ours. */
@@ -132,8 +143,10 @@
     switch (request.kind) {
       case 'submit':
         return { id, request: { kind: 'submit', jobId: request.jobId, body: request.body }, reply: null };
-      case 'promise':
-        return { id, request: { kind: 'promise', term: request.term, ms: request.ms }, reply: null };
+      case 'promise': {
+        const { term, ms, continuous } = request;
+        return { id, request: { kind: 'promise', term, ms, continuous }, reply: null };
+      }
       case 'ping':
       case 'workers':
         return { id, request: { kind: request.kind }, reply: null };
--- a/test/jobs/door.test.ts
+++ b/test/jobs/door.test.ts
@@ -26,7 +26,7 @@
     teams: [{ name: 'vision', cpus: 0, gpus: 8, cpusMax: 0, gpusMax: 1000 }],
     catalog: () => new Catalog([{ ...BIG, name: 'g8', cpus: 96, gpus: 8, memory: 768 }]),
     leader: () => null,
-    actAlone: () => () => undefined,
+    actAlone: () => Promise.resolve(null),
     askLeader: () => Promise.resolve(null),
     askOthers: (request) => {
       asked.push(request);
--- a/test/mesh/frames.test.ts
+++ b/test/mesh/frames.test.ts
@@ -17,7 +17,12 @@
       }),
       fc.record({ kind: fc.constantFrom('ping' as const, 'workers' as const) }),
       fc.record({ kind: fc.constant('submit' as const), jobId: fc.string(), body: fc.string() }),
-      fc.record({ kind: fc.constant('promise' as const), term: fc.nat(), ms: fc.nat() }),
+      fc.record({
+        kind: fc.constant('promise' as const),
+        term: fc.nat(),
+        ms: fc.nat(),
+        continuous: fc.boolean(),
+      }),
     ),
     reply: fc.constant(null),
   }),
