Promises hold for 5 s each by itself, so a restart in an outage leaves no gap

Cause: a leader was sure by promises for 1.5 s from all at once. A follower that was away for a second or more in an outage left a gap, and after a gap one that is freshly started can't vouch for what its earlier process did: the leader stayed unsure until the outage was over.

Change: a promise holds for 5 s, the leader counts each controller's by itself, and a controller that starts keeps the longest promise that its earlier process can have given, unless no leadership was ever won. Followers are free again about when the lease of a leader that died in the outage is over. The first election of a deployment no longer waits.

--- a/src/core/service.ts
+++ b/src/core/service.ts
@@ -209,7 +209,7 @@
             const asked = peers.map((p) =>
               this.mesh.ask(p.name, { kind: 'promise', ...request }, PROMISE_WAIT_MS),
             );
-            return (await Promise.all(asked)).every((reply) => reply?.kind === 'promised');
+            return (await Promise.all(asked)).map((reply) => reply?.kind === 'promised');
           }
         : null,
     );
--- a/src/leadership/election.ts
+++ b/src/leadership/election.ts
@@ -73,8 +73,8 @@
   private knownLeader: string | null = null;
   private stopped = false;
   private startedAt = 0;
-  /** The other controllers have all promised not to stand until then. */
-  private extendedUntil = -Infinity;
+  /** Until when each of the other controllers, and this one, does nothing that needs the leader's absence. */
+  private promisedBy: number[] = [];
   private readonly ledger: PromiseLedger;
   /** Not standing before: others can do what this node can't. */
   private restUntil = -Infinity;
@@ -90,8 +90,8 @@
     private readonly log: Logger,
     private readonly pause: (ms: number) => Promise<void> = (ms) =>
       new Promise((resolve) => setTimeout(resolve, ms)),
-    /** Asks all other controllers to promise; true if every one did. null where promises are not used. */
-    private readonly askPromises: ((request: PromiseRequest) => Promise<boolean>) | null = null,
+    /** Asks all other controllers, always in the same order, to promise. null where promises are not used. */
+    private readonly askPromises: ((request: PromiseRequest) => Promise<readonly boolean[]>) | null = null,
   ) {
     this.ledger = new PromiseLedger(clock.now());
   }
@@ -120,7 +120,11 @@
   }
 
   private sureEnd(): number {
-    return Math.max(this.surelyUntil, this.extendedUntil);
+    return Math.max(this.surelyUntil, this.extendedUntil());
+  }
+
+  private extendedUntil(): number {
+    return this.promisedBy.length === 0 ? -Infinity : Math.min(...this.promisedBy);
   }
 
   /**
@@ -129,7 +133,7 @@
    * transaction can't be carried out once another term has begun.
    */
   async actAlone(urgency: Urgency): Promise<LeaderlessStep | null> {
-    if (this.leadership || !this.ledger.mayStep(this.clock.now())) return null;
+    if (this.leadership || !this.mayTryStep()) return null;
     const term = await this.readTerm(urgency);
     if (!term || this.leadership || !this.ledger.beginStep(this.clock.now())) return null;
     const end = (outcome: StepOutcome): void => {
@@ -171,6 +175,11 @@
     return true;
   }
 
+  private mayTryStep(): boolean {
+    const now = this.clock.now();
+    return this.ledger.mayStep(now) || this.ledger.asksForTerm(now);
+  }
+
   private mayPromise(request: PromiseRequest): boolean {
     return this.leadership === null && this.ledger.mayPromise(request);
   }
@@ -186,7 +195,7 @@
     this.leadership = null;
     this.knownLeader = null;
     this.surelyUntil = -Infinity;
-    this.extendedUntil = -Infinity;
+    this.promisedBy = [];
     this.log.info({ term: held.term, reason }, 'leadership lost');
     this.events.lost(reason);
     void this.store.revoke(held.lease);
@@ -211,9 +220,15 @@
   private async readTerm(urgency: Urgency): Promise<{ n: number; version: number } | null> {
     const found = await this.store.get(KEYS.term, urgency);
     if (found.kind !== 'ok') return null;
-    if (found.value === null) return { n: 0, version: 0 };
+    if (found.value === null) {
+      this.ledger.noteTerm(0);
+      return { n: 0, version: 0 };
+    }
     const record = termRecord.safeParse(found.value.value);
-    if (record.success) return { n: record.data.n, version: found.value.version };
+    if (record.success) {
+      this.ledger.noteTerm(record.data.n);
+      return { n: record.data.n, version: found.value.version };
+    }
     this.log.error('term record is malformed');
     return null;
   }
@@ -267,7 +282,7 @@
 
   private async contend(): Promise<void> {
     if (this.clock.now() < this.restUntil) return this.pause(200);
-    if (!this.ledger.mayStep(this.clock.now())) return this.pause(50);
+    if (!this.mayTryStep()) return this.pause(50);
     // When controllers are restarted one after the other, one that has just been is the safest choice.
     const upS = (this.clock.now() - this.startedAt) / 1000;
     await this.pause(Math.min(MOST_DELAY_MS, upS / 2) + this.random() * 20);
@@ -348,16 +363,21 @@
     if (!this.askPromises) return;
     const sentAt = this.clock.now();
     const continuous = this.surelyLeading();
-    const promised = await this.askPromises({ term: held.term, ms: PROMISE_MS, continuous });
-    if (!promised || this.leadership !== held || !this.ledger.hasNoStepIn(held.term)) return;
+    const answers = await this.askPromises({ term: held.term, ms: PROMISE_MS, continuous });
+    if (this.leadership !== held || !this.ledger.hasNoStepIn(held.term)) return;
     if (continuous && !this.surelyLeading()) return;
-    if (this.clock.now() >= this.surelyUntil && this.extendedUntil < this.surelyUntil) {
+    const before = this.extendedUntil();
+    const until = countedUntil(sentAt, PROMISE_MS);
+    // This node itself does nothing of the kind while it leads.
+    this.promisedBy = [...answers, true].map((promised, i) =>
+      promised ? until : (this.promisedBy[i] ?? -Infinity),
+    );
+    if (this.clock.now() >= this.surelyUntil && before < this.surelyUntil && this.surelyLeading()) {
       this.log.info(
         { term: held.term, continuous },
         'state service not reached, the others promised not to act without a leader',
       );
     }
-    this.extendedUntil = Math.max(this.extendedUntil, countedUntil(sentAt, PROMISE_MS));
   }
 }
 
--- a/src/leadership/promises.ts
+++ b/src/leadership/promises.ts
@@ -1,7 +1,11 @@
 import { DRIFT } from '../core/clock.ts';
 
-/** How long a promise not to act without a leader holds at most, in ms. */
-export const PROMISE_MS = 1500;
+/**
+ * How long a promise not to act without a leader holds at most, in ms. Long enough that a controller that is
+ * restarted in an outage is back and asked again before its earlier process's promise ends; short enough that
+ * whoever gave one is free about when the lease of a leader that died in the outage is over.
+ */
+export const PROMISE_MS = 5000;
 
 /** Kept beside the drift of the clocks, in ms. */
 const MARGIN_MS = 20;
@@ -36,7 +40,9 @@
  * began. The two exclude each other: docs/safety.md, "Promises in an outage".
  */
 export class PromiseLedger {
-  private promisedUntil: number;
+  private promisedUntil = -Infinity;
+  private startWaitUntil: number;
+  private knowsTerm = false;
   private openSteps = 0;
   /** The highest term that this process has read in the leader key. */
   private witnessedTerm = 0;
@@ -45,7 +51,7 @@
 
   /** A process knows of no promise that an earlier one gave under its name, so it keeps the longest possible one. */
   constructor(startedAt: number) {
-    this.promisedUntil = keptUntil(startedAt, PROMISE_MS);
+    this.startWaitUntil = keptUntil(startedAt, PROMISE_MS);
   }
 
   /** The leader key was read while it held this term. */
@@ -53,9 +59,20 @@
     this.witnessedTerm = Math.max(this.witnessedTerm, term);
   }
 
+  /** The last term that was won, as the store names it. Before the first one nobody can have promised anything. */
+  noteTerm(term: number): void {
+    this.knowsTerm = true;
+    if (term === 0) this.startWaitUntil = -Infinity;
+  }
+
   /** Whether a leaderless step may begin. */
   mayStep(now: number): boolean {
-    return now >= this.promisedUntil;
+    return now >= this.promisedUntil && now >= this.startWaitUntil;
+  }
+
+  /** True if the store's term could allow a step that otherwise has to wait. */
+  asksForTerm(now: number): boolean {
+    return !this.knowsTerm && now >= this.promisedUntil;
   }
 
   /** Begins a step; false: not now. Until it ends nothing is promised. */
--- a/test/leadership/controllers.ts
+++ b/test/leadership/controllers.ts
@@ -215,14 +215,16 @@
     node: Controller,
     alive: () => boolean,
     request: PromiseRequest,
-  ): Promise<boolean> {
+  ): Promise<boolean[]> {
     const others = this.nodes.filter((n) => n !== node);
-    const replies = Promise.all(others.map((n) => this.ask(node, n, { kind: 'promise', ...request })));
-    const late = this.pause(node, alive, ASK_MS).then(() => [null]);
-    const first = await Promise.race([replies, late]);
+    const replies = others.map((n) => {
+      const late = this.pause(node, alive, ASK_MS).then(() => null);
+      return Promise.race([this.ask(node, n, { kind: 'promise', ...request }), late]);
+    });
+    const answers = await Promise.all(replies);
     // A stalled process reads what came meanwhile once it goes on.
     await this.pause(node, alive, 0);
-    return first.every((reply) => reply?.kind === 'promised');
+    return answers.map((reply) => reply?.kind === 'promised');
   }
 
   /**
--- a/test/leadership/promises.test.ts
+++ b/test/leadership/promises.test.ts
@@ -135,14 +135,13 @@
 });
 
 test('a leader goes on through an outage in which a follower is restarted', async () => {
-  for (const backMs of [30, 500]) {
+  for (const backMs of [30, 500, 2500]) {
     const { c, leader, others } = await started();
     c.store.outage(LONG_MS);
     await c.run(4000);
     assert.equal(await sureShare(c, leader, 4000), 1);
     c.crash(others[0], backMs);
-    const share = await sureShare(c, leader, 40_000);
-    assert.ok(share > 0.98, `${share}`);
+    assert.equal(await sureShare(c, leader, 40_000), 1);
     assert.deepEqual(c.broken, []);
   }
 });
