--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -8,6 +8,7 @@
 import { FinalCache } from '../jobs/finals.ts';
 import type { TeamLimits } from '../jobs/admission.ts';
 import { Election, leaseMs, type Leadership } from '../leadership/election.ts';
+import { cancellationCanHold, reportGraceMs } from '../leadership/grace.ts';
 import { answerBatch, PollBatcher } from '../jobs/poll-batches.ts';
 import { SharedReads } from '../jobs/shared-reads.ts';
 import type { MeshReply, MeshRequest, PollAnswer } from '../mesh/frames.ts';
@@ -121,9 +122,14 @@
       gpusMax: t.gpus_max,
     }));
     this.zones = new Intern(zones);
-    // With the workers' lease it must stay within the time of a cancellation.
-    this.graceMs =
-      Math.min(options.leadership.grace_s, Math.max(0, (workers.cancel_s - workers.lease_s) * 0.6)) * 1000;
+    const times = { cancelS: workers.cancel_s, leaseS: workers.lease_s };
+    this.graceMs = reportGraceMs(options.leadership.grace_s, times);
+    if (!cancellationCanHold(times)) {
+      log.warn(
+        times,
+        'cancel_s leaves less time than lease_s: tasks on machines that are cut off outlive a cancellation',
+      );
+    }
     const { peers } = platform;
     const after = (ms: number, run: () => void): void => {
       void this.pause(ms).then(run);
@@ -146,7 +152,7 @@
       teams: this.teams,
       catalog: () => this.catalog,
       leader: () => this.localLeader(),
-      actAlone: () => this.election.actAlone(),
+      actAlone: (urgency) => this.election.actAlone(urgency),
       askLeader: (request, timeoutMs) =>
         request.kind === 'poll' ? this.polls.ask(request.jobId) : this.askLeader(request, timeoutMs),
       askOthers: (request, timeoutMs) => this.askOthers(request, timeoutMs),
@@ -180,11 +186,11 @@
       (ms) => platform.timers.pause(ms),
       // Only the promises of all other controllers together say anything.
       peers.names.length === settings.settings.nodes - 1
-        ? async (term, ms) => {
+        ? async (request) => {
             const asked = peers.names.map((name) =>
-              peers.ask(name, { kind: 'promise', term, ms }, PROMISE_WAIT_MS),
+              peers.ask(name, { kind: 'promise', ...request }, PROMISE_WAIT_MS),
             );
-            return (await Promise.all(asked)).every((reply) => reply?.kind === 'promised');
+            return (await Promise.all(asked)).map((reply) => reply?.kind === 'promised');
           }
         : null,
     );
@@ -257,7 +263,7 @@
         this.door.onMesh(request, reply);
         return;
       }
-      void this.election.promise(request.ms).then((given) => {
+      void this.election.promise(request).then((given) => {
         reply({ kind: given ? 'promised' : 'unable' });
       });
     });
--- a/src/mesh/frames.ts
+++ b/src/mesh/frames.ts
@@ -13,8 +13,11 @@
   | { kind: 'workers' }
   | { kind: 'cancel'; jobId: string }
   | { kind: 'submit'; jobId: string; body: string }
-  /** A leader without the state service asks for a promise not to stand against it. */
-  | { kind: 'promise'; term: number; ms: number };
+  /**
+   * A leader without the state service asks for a promise not to act without a leader. `continuous`: it is still
+   * sure of its term.
+   */
+  | { kind: 'promise'; term: number; ms: number; continuous: boolean };
 
 export type MeshStage = 'pending' | 'running' | 'done' | 'cancelled';
 
@@ -61,6 +64,7 @@
             { name: 'term', type: 'long' },
             { name: 'ms', type: 'int' },
             { name: 'jobIds', type: { type: 'array', items: 'string' } },
+            { name: 'continuous', type: 'boolean' },
           ],
         },
       ],
@@ -136,6 +140,7 @@
     term: number;
     ms: number;
     jobIds: string[];
+    continuous: boolean;
   } | null;
   reply: {
     kind: MeshReply['kind'];
@@ -149,7 +154,14 @@
   } | null;
 }
 
-const NO_REQUEST = { jobId: '', body: '', term: 0, ms: 0, jobIds: [] as string[] } as const;
+const NO_REQUEST = {
+  jobId: '',
+  body: '',
+  term: 0,
+  ms: 0,
+  continuous: false,
+  jobIds: [] as string[],
+} as const;
 const NO_REPLY = {
   created: false,
   stage: 'pending',
@@ -193,8 +205,10 @@
     switch (request.kind) {
       case 'submit':
         return { id, request: { kind: 'submit', jobId: request.jobId, body: request.body }, reply: null };
-      case 'promise':
-        return { id, request: { kind: 'promise', term: request.term, ms: request.ms }, reply: null };
+      case 'promise': {
+        const { term, ms, continuous } = request;
+        return { id, request: { kind: 'promise', term, ms, continuous }, reply: null };
+      }
       case 'polls':
         return { id, request: { kind: 'polls', jobIds: request.jobIds }, reply: null };
       case 'ping':
--- a/test/core/standstill.test.ts
+++ b/test/core/standstill.test.ts
@@ -128,7 +128,7 @@
       teams,
       catalog: () => catalog,
       leader: () => this.leader,
-      actAlone: () => null,
+      actAlone: () => Promise.resolve(null),
       askLeader: () => Promise.resolve(null),
       askOthers: () => Promise.resolve(null),
     });
--- a/test/jobs/bad-submissions.test.ts
+++ b/test/jobs/bad-submissions.test.ts
@@ -66,7 +66,7 @@
     teams: [{ name: 'vision', cpus: 0, gpus: 8, cpusMax: 0, gpusMax: 1000 }],
     catalog: () => (situation.catalogKnown ? new Catalog([BIG]) : null),
     leader: () => null,
-    actAlone: () => null,
+    actAlone: () => Promise.resolve(null),
     askLeader: () => Promise.resolve(null),
     askOthers,
   });
