--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -5,6 +5,7 @@
 import { AdaptiveLimit, USER_SLACK_MS, WORKER_SLACK_MS } from '../http/limit.ts';
 import { failure, type Answer, type HttpRequest, type Reply } from '../http/server.ts';
 import { UserDoor, type LocalLeader } from '../jobs/door.ts';
+import { EndWrites } from '../jobs/end-writes.ts';
 import { FinalCache } from '../jobs/finals.ts';
 import type { TeamLimits } from '../jobs/admission.ts';
 import { Election, leaseMs, type Leadership } from '../leadership/election.ts';
@@ -303,7 +304,8 @@
     const leader = this.leader;
     if (!leader) return null;
     return {
-      status: (id) => leader.status(id),
+      term: leader.term,
+      view: (id) => leader.view(id),
       cancel: (id, settled) => leader.cancel(id, settled),
       created: (id, value) => {
         leader.created(id, value);
@@ -372,9 +374,10 @@
     }
     if (!this.isCurrent(held) || fence.kind !== 'ok') return;
     const { state } = this.settings.settings;
+    const endWrites = new EndWrites();
     const writer = new LeaderWriter(
       {
-        txn: (conditions, changes) => this.store.txn(conditions, changes, 'lease'),
+        txn: endWrites.noting((conditions, changes) => this.store.txn(conditions, changes, 'lease')),
         readFence: async () => {
           const read = await this.store.get(KEYS.fence, 'lease');
           return read.kind === 'ok' ? (read.value?.version ?? 0) : null;
@@ -403,7 +406,9 @@
         inspect: (machine) => this.workers.inspect(machine),
         final: (id, status) => {
           this.finals.put(id, status);
+          endWrites.forget(id);
         },
+        endMayBeWritten: (id) => endWrites.mayBeWritten(id),
         isFinal: (id) => this.finals.get(id) !== undefined,
         post: (command) => {
           this.owner.post(command);
--- a/test/core/harness.ts
+++ b/test/core/harness.ts
@@ -100,6 +100,7 @@
           }),
         final: () => undefined,
         isFinal: () => false,
+        endMayBeWritten: () => false,
         post: (command) => {
           command();
         },
--- a/test/core/leader.test.ts
+++ b/test/core/leader.test.ts
@@ -69,7 +69,9 @@
   const order = { session: 1, seq: 1, token: TERM + 1 };
   h.inspected[0]!.answer(reportOf('n-1', 'a', order, [task(job.id, 0, 9)]));
   await h.pass(1);
-  assert.equal(h.leader.status(job.id)?.running, 0);
+  const view = h.leader.view(job.id);
+  assert.ok(view.kind === 'status');
+  assert.equal(view.status.running, 0);
 });
 
 test('a leader that is not sure to lead takes no silent machine for lost and returns none', async () => {
--- a/test/core/standstill.test.ts
+++ b/test/core/standstill.test.ts
@@ -93,6 +93,7 @@
         inspect: () => Promise.resolve(null),
         final: () => undefined,
         isFinal: () => false,
+        endMayBeWritten: () => false,
         post: (command) => {
           command();
         },
@@ -206,7 +207,7 @@
   const { starts, rentals } = { starts: site.starts.length, rentals: site.rentals.length };
   site.clock.at += STANDSTILL_MS;
   // What waited in its sockets comes first, then all timers at once; it goes on while nobody tells it better.
-  assert.equal(site.leader.status(ID), null);
+  assert.deepEqual(site.leader.view(ID), { kind: 'unknown' });
   assert.equal(
     site.leader.cancel(ID, () => assert.fail('it confirmed a cancellation')),
     false,
--- a/test/leadership/controllers.ts
+++ b/test/leadership/controllers.ts
@@ -154,7 +154,9 @@
       leader: () =>
         election.current()
           ? {
-              status: () => (election.surelyLeading() ? RUNNING : null),
+              term: election.current()?.term ?? 0,
+              view: () =>
+                election.surelyLeading() ? { kind: 'status', status: RUNNING } : { kind: 'unknown' },
               cancel: () => false,
               created: () => undefined,
             }
