One record a job, notes of begun tasks in pages, paced and prioritised writes

Cause: a one-task job cost 5.2 to 5.6 changes of the state service (open record, note of what was begun, final record with two deletes, and shares of the fence), so a burst of them kept ends and starts waiting for the write budget, and submissions of all nodes competed with the leader for it.

Change: the final state takes the place of the open record (one put, one key to look at) and is archived later while the service is idle; notes of begun tasks go into pages; what is due together shares a transaction, whose value is taken when it is sent; ends go before starts, finished tasks and housekeeping; submissions have a share of their own on each node and are refused at once beyond it; a write without an answer is settled by a look at the fence and the leader key.

--- a/src/core/attempts.ts
+++ b/src/core/attempts.ts
@@ -1,7 +1,6 @@
+import type { BegunNotes } from '../jobs/begun.ts';
 import type { Job } from '../jobs/job.ts';
 import { ASSIGNED } from '../jobs/job.ts';
-import { begunValue } from '../jobs/records.ts';
-import { KEYS } from '../store/keys.ts';
 import { fetchTime } from '../scheduling/view.ts';
 import { attemptKey, newAttempt, type Attempt, type Machine } from '../workers/machine.ts';
 import type { WorkerEvent } from '../workers/reconcile.ts';
@@ -21,6 +20,7 @@
     private readonly cluster: Cluster,
     private readonly gangs: Gangs,
     private readonly endings: Endings,
+    private readonly begun: BegunNotes,
     private readonly deps: LeaderDeps,
   ) {}
 
@@ -57,20 +57,17 @@
   /**
    * The store must say that a task may have been started before it is: so the next leader knows which tasks
    * nobody can be running, and need not wait for machines that it can't reach. Said ahead in steps, a job costs
-   * few changes.
+   * few changes, and all jobs that begin in a round share one.
    */
   private begin(job: Job, task: number): void {
     if (task < job.begunAsked) return;
     const step = Math.max(BEGUN_STEP, Math.ceil(job.spec.tasks / 8));
     const begun = job.spec.gang ? job.spec.tasks : Math.min(job.spec.tasks, task + step);
     job.begunAsked = begun;
-    const done = (): void => {
-      this.deps.host.post(() => {
-        job.begun = begun;
-        for (const a of this.cluster.liveOf.get(job) ?? []) this.cluster.toPush.add(a.machine);
-      });
-    };
-    this.deps.writer.push({ changes: [{ put: KEYS.begun(job.id), value: begunValue(begun) }], done }, true);
+    this.begun.note(job.id, begun, () => {
+      job.begun = begun;
+      for (const a of this.cluster.liveOf.get(job) ?? []) this.cluster.toPush.add(a.machine);
+    });
   }
 
   apply(events: readonly WorkerEvent[]): void {
--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -27,7 +27,7 @@
   /** Machines that may need orders sent straight to them. */
   readonly toPush = new Set<Machine>();
   /**
-   * Jobs that this leader has ended, until the watch tells of the end: a late event of their creation must not
+   * Jobs that this leader has ended, until the watch tells of their final record: a late event of their creation must not
    * bring them back to life.
    */
   readonly over = new Set<string>();
--- a/src/core/endings.ts
+++ b/src/core/endings.ts
@@ -1,3 +1,5 @@
+import type { Archive } from '../jobs/archive.ts';
+import type { BegunNotes } from '../jobs/begun.ts';
 import type { Job } from '../jobs/job.ts';
 import { chunkValue, finalValue } from '../jobs/records.ts';
 import { KEYS } from '../store/keys.ts';
@@ -12,6 +14,8 @@
 
   constructor(
     private readonly cluster: Cluster,
+    private readonly begun: BegunNotes,
+    private readonly archive: Archive,
     private readonly deps: LeaderDeps,
   ) {}
 
@@ -36,11 +40,10 @@
     this.cluster.dirty = true;
     host.log.debug({ job: job.id, outcome }, 'job ends');
     if (outcome === 'cancelled') this.cluster.stopAll(job, 0);
-    const changes = [
-      { delete: KEYS.open(job.id) },
-      { put: KEYS.final(job.id), value: finalValue(outcome, job.doneCount) },
-    ];
-    const chunks: { delete: string }[] = job.begunAsked > 0 ? [{ delete: KEYS.begun(job.id) }] : [];
+    // In the place of the open record: one change, and one key that tells what a job is.
+    const value = finalValue(outcome, job.doneCount);
+    const changes = [{ put: KEYS.open(job.id), value }];
+    const chunks: { delete: string }[] = [];
     for (const chunk of job.storedChunks) chunks.push({ delete: KEYS.finished(job.id, chunk) });
     const together = chunks.length + changes.length < settings.settings.state.txn_ops;
     writer.push(
@@ -48,20 +51,22 @@
         changes: together ? [...changes, ...chunks] : changes,
         done: () => {
           host.post(() => {
-            this.ended(job, outcome);
+            this.ended(job, outcome, value);
           });
         },
       },
       // Users wait for both, and the finished tasks of other jobs can wait.
-      true,
+      'ends',
     );
-    if (!together)
-      for (const change of chunks) writer.push({ changes: [change], done: () => undefined }, false);
+    if (together) return;
+    for (const change of chunks) writer.push({ changes: [change], done: () => undefined }, 'background');
   }
 
-  private ended(job: Job, outcome: 'done' | 'cancelled'): void {
+  private ended(job: Job, outcome: 'done' | 'cancelled', value: unknown): void {
     const { host } = this.deps;
     job.final = outcome;
+    this.begun.drop(job.id);
+    this.archive.add(job.id, value);
     host.final(job.id, job.status());
     for (const settled of job.whenFinal) settled();
     job.whenFinal.length = 0;
@@ -105,7 +110,7 @@
           });
         },
       },
-      false,
+      'progress',
     );
   }
 }
--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -9,8 +9,10 @@
 import { Views } from './views.ts';
 import { Watch } from './watch.ts';
 import { Fleet } from '../fleet/fleet.ts';
+import { Archive } from '../jobs/archive.ts';
+import { BegunNotes } from '../jobs/begun.ts';
 import { Job } from '../jobs/job.ts';
-import { readBegun, readChunk, readOpen } from '../jobs/records.ts';
+import { readChunk, readFinal, readOpen } from '../jobs/records.ts';
 import { ArrivalForecast } from '../scheduling/forecast.ts';
 import { KEYS } from '../store/keys.ts';
 import type { Item, WatchEvent } from '../wire/state.ts';
@@ -21,12 +23,16 @@
 import { Roster } from '../workers/roster.ts';
 
 const QUICK_IMAGES = 64;
-const ROSTER_PAGE_BYTES = 4000;
+const PAGE_BYTES = 4000;
+/** Final records that a new leader may have to read past: a few pages of a listing. */
+const FINALS_KEPT = 2000;
 
 /** Everything one leadership knows. It starts empty and is thrown away whole when the leadership ends. */
 export class Leader {
   private readonly cluster: Cluster;
   private readonly gangs: Gangs;
+  private readonly begun: BegunNotes;
+  private readonly archive: Archive;
   private readonly endings: Endings;
   private readonly attempts: Attempts;
   private readonly orders: Orders;
@@ -73,8 +79,28 @@
       deps,
     );
     this.gangs = new Gangs(this.cluster, this.log);
-    this.endings = new Endings(this.cluster, deps);
-    this.attempts = new Attempts(this.cluster, this.gangs, this.endings, deps);
+    const pageBytes = Math.min(PAGE_BYTES, settings.settings.state.value_kb * 900);
+    const post = (command: () => void): void => {
+      host.post(command);
+    };
+    this.begun = new BegunNotes({
+      pageBytes,
+      push: (job) => {
+        writer.push(job, 'starts');
+      },
+      post,
+    });
+    this.archive = new Archive({
+      keep: FINALS_KEPT,
+      txnOps: settings.settings.state.txn_ops,
+      idle: () => writer.idle,
+      push: (job) => {
+        writer.push(job, 'background');
+      },
+      post,
+    });
+    this.endings = new Endings(this.cluster, this.begun, this.archive, deps);
+    this.attempts = new Attempts(this.cluster, this.gangs, this.endings, this.begun, deps);
     this.orders = new Orders(this.cluster, deps, (report) => {
       // Only of machines that are still there: an answer can be older than the machine's end.
       if (!this.stopped && this.cluster.machines.has(report.machine)) this.takeReport(report, true);
@@ -92,13 +118,11 @@
       },
     );
     this.roster = new Roster({
-      pageBytes: Math.min(ROSTER_PAGE_BYTES, settings.settings.state.value_kb * 900),
+      pageBytes,
       push: (job, urgent) => {
-        writer.push(job, urgent);
-      },
-      post: (command) => {
-        host.post(command);
+        writer.push(job, urgent ? 'starts' : 'background');
       },
+      post,
     });
   }
 
@@ -127,19 +151,10 @@
       this.log.error({ key }, 'a record is malformed');
     };
     const stale = (item: Item): void => {
-      this.deps.writer.push({ changes: [{ delete: item.key }], done: () => undefined }, false);
+      this.deps.writer.push({ changes: [{ delete: item.key }], done: () => undefined }, 'background');
     };
-    for (const item of found.open) {
-      const record = readOpen(item.value);
-      if (record) this.addJob(record.job.id, item.value);
-      else malformed(item.key);
-    }
-    for (const item of found.begun) {
-      const job = this.cluster.jobs.get(item.key.slice(KEYS.begunPrefix.length));
-      // What can't be read is taken for all of the job.
-      if (job) job.inherit(readBegun(item.value) ?? job.spec.tasks, this.now());
-      else stale(item);
-    }
+    for (const item of found.open) this.loadRecord(item, malformed);
+    this.loadBegun(found.begun, malformed);
     for (const item of found.finished) {
       const [, id, chunk] = item.key.split('/');
       const job = this.cluster.jobs.get(id ?? '');
@@ -160,6 +175,26 @@
     for (const job of this.cluster.jobs.values()) this.endings.finishIfDone(job);
   }
 
+  private loadRecord(item: Item, malformed: (key: string) => void): void {
+    if (readFinal(item.value)) {
+      this.archive.add(item.key.slice(KEYS.openPrefix.length), item.value);
+      return;
+    }
+    const record = readOpen(item.value);
+    if (record) this.addJob(record.job.id, item.value);
+    else malformed(item.key);
+  }
+
+  private loadBegun(pages: readonly Item[], malformed: (key: string) => void): void {
+    const { jobs } = this.cluster;
+    const { begun, unreadable } = this.begun.load(pages, (id) => jobs.has(id), malformed);
+    for (const job of jobs.values()) {
+      // What can't be read may have noted all tasks of any job.
+      const inherited = unreadable ? job.spec.tasks : begun.get(job.id);
+      if (inherited !== undefined) job.inherit(inherited, this.now());
+    }
+  }
+
   private mayPlace(): boolean {
     return (
       this.loaded &&
@@ -210,11 +245,20 @@
   onStoreEvents(events: readonly WatchEvent[]): void {
     for (const e of events) {
       const id = e.key.slice(KEYS.openPrefix.length);
-      if (e.deleted) this.cluster.over.delete(id);
+      // Events come in order: after that of its end no older one of the job follows.
+      if (e.deleted || readFinal(e.value)) this.cluster.over.delete(id);
       else if (!this.cluster.over.has(id)) this.addJob(id, e.value);
     }
   }
 
+  /** All records, read anew because the watch has missed events; it goes on after this reading. */
+  onStoreListed(items: readonly Item[]): void {
+    const listed = new Set(items.map((item) => item.key.slice(KEYS.openPrefix.length)));
+    // Ended, written and moved to the archive meanwhile.
+    for (const id of this.cluster.over) if (!listed.has(id)) this.cluster.over.delete(id);
+    this.onStoreEvents(items.map((item) => ({ ...item, deleted: false })));
+  }
+
   /** Found open in the store by this node; the watch would bring it a little later. */
   created(id: string, value: unknown): void {
     if (this.loaded && !this.cluster.over.has(id) && !this.deps.host.isFinal(id)) this.addJob(id, value);
@@ -346,5 +390,6 @@
     }
     this.roster.flush(this.deps.writer.backlog === 0);
     this.orders.pushDue();
+    this.archive.tick();
   }
 }
--- a/src/core/service.ts
+++ b/src/core/service.ts
@@ -13,7 +13,7 @@
 import type { MeshReply, MeshRequest } from '../mesh/frames.ts';
 import { Mesh } from '../mesh/mesh.ts';
 import { Reach } from '../mesh/reach.ts';
-import { RateBudget } from '../store/budget.ts';
+import { LEADER_WRITES, RateBudget, submissionsPerSecond } from '../store/budget.ts';
 import { StoreClient } from '../store/client.ts';
 import { KEYS } from '../store/keys.ts';
 import { LeaderWriter } from '../store/writer.ts';
@@ -158,6 +158,7 @@
       options,
       store: this.store,
       finals: this.finals,
+      submissions: new RateBudget(submissionsPerSecond(state.write_rps, settings.settings.nodes), now),
       teams: this.teams,
       catalog: () => this.catalog,
       leader: () => this.localLeader(),
@@ -276,7 +277,7 @@
   private keepCatalog(writer: LeaderWriter): void {
     const value = catalogValue(this.catalog!);
     if (JSON.stringify(value).length > this.settings.settings.state.value_kb * 1000) return;
-    writer.push({ changes: [{ put: KEYS.catalog, value }], done: () => undefined }, false);
+    writer.push({ changes: [{ put: KEYS.catalog, value }], done: () => undefined }, 'background');
   }
 
   // ---- leadership ----
@@ -343,11 +344,15 @@
     const { state } = this.settings.settings;
     const writer = new LeaderWriter(
       {
-        txn: (conditions, changes) => this.store.txn(conditions, changes, 'lease'),
+        txn: (conditions, changes, timeoutMs) => this.store.txn(conditions, changes, 'lease', timeoutMs),
         readFence: async () => {
           const read = await this.store.get(KEYS.fence, 'lease');
           return read.kind === 'ok' ? (read.value?.version ?? 0) : null;
         },
+        readLeader: async () => {
+          const read = await this.store.get(KEYS.leader, 'lease');
+          return read.kind === 'ok' ? (read.value?.version ?? 0) : null;
+        },
         lost: (reason) => {
           this.election.stepDown(reason);
         },
@@ -356,7 +361,7 @@
       held.version,
       fence.value?.version ?? 0,
       { txnOps: state.txn_ops, bytes: 56 * 1024 },
-      new RateBudget(state.write_rps * 0.7, () => this.clock.now()),
+      new RateBudget(state.write_rps * LEADER_WRITES, () => this.clock.now()),
       this.log,
     );
     const leader = new Leader({
@@ -439,14 +444,9 @@
       const listed = await this.store.list(KEYS.openPrefix, 'lease');
       if (listed.kind !== 'ok') continue;
       revision = listed.value.revision;
-      const events = listed.value.items.map((i) => ({
-        key: i.key,
-        deleted: false,
-        value: i.value,
-        version: i.version,
-      }));
+      const { items } = listed.value;
       this.owner.post(() => {
-        if (this.leader === leader) leader.onStoreEvents(events);
+        if (this.leader === leader) leader.onStoreListed(items);
       });
     }
   }
--- /dev/null
+++ b/src/jobs/archive.ts
@@ -0,0 +1,62 @@
+import { KEYS } from '../store/keys.ts';
+import type { WriteJob } from '../store/writer.ts';
+
+export interface ArchiveDeps {
+  /** How many final records may stay in the place of the open ones, for a new leader to read past. */
+  keep: number;
+  /** Changes that a transaction holds, the fence's included. */
+  txnOps: number;
+  /** True while the store has nothing else to do. */
+  idle(): boolean;
+  push(job: WriteJob): void;
+  /** Puts a command in the owner's queue. */
+  post(command: () => void): void;
+}
+
+/**
+ * Final records begin in the place of the open ones. Once there are many, the oldest are moved away, each in one
+ * transaction, so that a new leader has little to read besides the open jobs. A record moves only in this
+ * direction, so whoever looks in the first place and then in the archive can't miss it.
+ */
+export class Archive {
+  /** Final records that haven't been moved, the oldest first. */
+  private readonly finals = new Map<string, unknown>();
+  private moving = false;
+
+  constructor(private readonly deps: ArchiveDeps) {}
+
+  /** The job's final record is durable in the place of its open one. */
+  add(id: string, value: unknown): void {
+    this.finals.set(id, value);
+  }
+
+  get size(): number {
+    return this.finals.size;
+  }
+
+  /** Moves a few records, if there are too many and nothing else is to be written. */
+  tick(): void {
+    const surplus = this.finals.size - this.deps.keep;
+    if (surplus <= 0 || this.moving || !this.deps.idle()) return;
+    const most = Math.max(1, Math.floor((this.deps.txnOps - 1) / 2));
+    const moved = [...this.oldest(Math.min(surplus, most))];
+    this.moving = true;
+    this.deps.push({
+      changes: moved.flatMap(([id, value]) => [{ delete: KEYS.open(id) }, { put: KEYS.final(id), value }]),
+      done: () => {
+        this.deps.post(() => {
+          this.moving = false;
+          for (const [id] of moved) this.finals.delete(id);
+        });
+      },
+    });
+  }
+
+  private *oldest(count: number): Generator<[string, unknown]> {
+    let left = count;
+    for (const entry of this.finals) {
+      if (left-- === 0) return;
+      yield entry;
+    }
+  }
+}
--- a/src/jobs/door.ts
+++ b/src/jobs/door.ts
@@ -4,6 +4,7 @@
 import { failure, type Answer, type Reply } from '../http/server.ts';
 import type { MeshReply, MeshRequest } from '../mesh/frames.ts';
 import { KEYS } from '../store/keys.ts';
+import type { RateBudget } from '../store/budget.ts';
 import type { StoreClient } from '../store/client.ts';
 import {
   decodeJob,
@@ -30,6 +31,8 @@
   options: Options;
   store: StoreClient;
   finals: FinalCache;
+  /** This node's share of the changes of the state service, for new jobs. */
+  submissions: RateBudget;
   teams: readonly TeamLimits[];
   catalog(): Catalog | null;
   leader(): LocalLeader | null;
@@ -42,10 +45,15 @@
 }
 
 type Looked = { kind: 'status'; status: JobStatus } | { kind: 'missing' } | { kind: 'unable' };
-type Created = Looked | { kind: 'created' };
+/** `limited`: too many submissions for the state service; nothing was written. */
+type Created = Looked | { kind: 'created' } | { kind: 'limited' };
 
 const PENDING: JobStatus = { stage: 'pending', done: 0, running: 0 };
 const CANCEL_FORWARD_MS = 2500;
+/** Wait for the answer to the record of a new job, before a look whether it is there. */
+const CREATE_TIMEOUT_MS = 1000;
+/** After the state service has refused a submission for its rate, so long none is sent: its changes are for others. */
+const OVER_LIMIT_REST_MS = 1000;
 
 /**
  * The users' side of every controller. Creating a job needs the store alone; its state comes from the leader,
@@ -85,6 +93,7 @@
     const created = await this.create(job);
     if (created.kind === 'created') return this.found(id, PENDING, 201);
     if (created.kind === 'status') return this.found(id, created.status);
+    if (created.kind === 'limited') return this.busy('too many submissions');
     const request: MeshRequest = { kind: 'submit', jobId: id, body };
     const answer = await this.deps.askOthers(request, this.deps.options.users.forward_ms * 2);
     if (answer?.kind === 'status') return this.found(id, answer, answer.created ? 201 : 200);
@@ -99,6 +108,7 @@
   }
 
   private async create(job: JobRequest): Promise<Created> {
+    if (!this.deps.submissions.take()) return { kind: 'limited' };
     const value = openValue(job, this.deps.clock.wall());
     const result = await this.deps.store.txn(
       [
@@ -107,10 +117,18 @@
       ],
       [{ put: KEYS.open(job.id), value }],
       'user',
+      CREATE_TIMEOUT_MS,
     );
     if (result.kind === 'ok') return { kind: 'created' };
     if (result.kind === 'conflict') return this.look(job.id);
-    return { kind: 'unable' };
+    if (result.kind === 'refused' && result.overLimit) {
+      this.deps.submissions.rest(OVER_LIMIT_REST_MS);
+      return { kind: 'limited' };
+    }
+    if (result.kind !== 'unknown') return { kind: 'unable' };
+    const looked = await this.look(job.id);
+    // It may be carried out later still, so that nothing is there proves nothing.
+    return looked.kind === 'status' ? looked : { kind: 'unable' };
   }
 
   // ---- state ----
@@ -153,11 +171,14 @@
     return { kind: reply?.kind === 'unknown' ? 'missing' : 'unable' };
   }
 
-  /** A fresh look into the store: the open record first, since a job only ever moves from open to final. */
+  /** A fresh look into the store: its record first, which once final only ever moves to the archive. */
   private async look(id: string): Promise<Looked> {
     const open = await this.deps.store.get(KEYS.open(id), 'user');
     if (open.kind !== 'ok') return { kind: 'unable' };
-    if (open.value) return { kind: 'status', status: this.deps.leader()?.status(id) ?? PENDING };
+    if (open.value) {
+      const over = readFinal(open.value.value);
+      return { kind: 'status', status: over ?? this.deps.leader()?.status(id) ?? PENDING };
+    }
     const final = await this.deps.store.get(KEYS.final(id), 'user');
     if (final.kind !== 'ok') return { kind: 'unable' };
     if (!final.value) return { kind: 'missing' };
@@ -208,7 +229,7 @@
     // Not known here: over already, never accepted, or created a moment ago by another node.
     const open = await this.deps.store.get(KEYS.open(id), 'user');
     if (open.kind !== 'ok') return { kind: 'unable' };
-    if (!open.value) return this.look(id);
+    if (!open.value || readFinal(open.value.value)) return this.look(id);
     const leader = this.deps.leader();
     if (!leader) return { kind: 'unable' };
     leader.created(id, open.value.value);
@@ -229,14 +250,14 @@
   private async cancelWithoutLeader(id: string): Promise<Looked> {
     const open = await this.deps.store.get(KEYS.open(id), 'user');
     if (open.kind !== 'ok') return { kind: 'unable' };
-    if (!open.value) return this.look(id);
+    if (!open.value || readFinal(open.value.value)) return this.look(id);
     if (!readOpen(open.value.value)) return { kind: 'unable' };
     const result = await this.deps.store.txn(
       [
         { key: KEYS.leader, version: 0 },
         { key: KEYS.open(id), version: open.value.version },
       ],
-      [{ delete: KEYS.open(id) }, { put: KEYS.final(id), value: finalValue('cancelled', 0) }],
+      [{ put: KEYS.open(id), value: finalValue('cancelled', 0) }],
       'user',
     );
     if (result.kind !== 'ok') return { kind: 'unable' };
@@ -272,7 +293,7 @@
       }
       void this.create(decoded.value).then((created) => {
         if (created.kind === 'created') reply({ kind: 'status', created: true, ...PENDING });
-        else answer(created);
+        else answer(created.kind === 'limited' ? { kind: 'unable' } : created);
       });
     }
   }
--- a/src/jobs/records.ts
+++ b/src/jobs/records.ts
@@ -3,7 +3,7 @@
 
 const openRecord = z.object({ at: z.number(), job: z.unknown() });
 const finalRecord = z.object({ s: z.enum(['done', 'cancelled']), n: z.int() });
-const begunRecord = z.object({ n: z.int().check(z.minimum(0)) });
+const begunRecord = z.object({ b: z.array(z.tuple([z.string(), z.int().check(z.minimum(0))])) });
 const chunkRecord = z.object({ b: z.string() });
 
 export function openValue(job: JobRequest, wall: number): unknown {
@@ -21,19 +21,20 @@
   return { s: stage, n: done };
 }
 
+/** The state that a final record tells; null for a record of an open job. */
 export function readFinal(value: unknown): JobStatus | null {
   const record = finalRecord.safeParse(value);
   return record.success ? { stage: record.data.s, done: record.data.n, running: 0 } : null;
 }
 
-/** Tasks from this one on have never been started by anybody. */
-export function begunValue(tasks: number): unknown {
-  return { n: tasks };
+/** For each job: its tasks from this one on have never been started by anybody. */
+export function begunValue(entries: Iterable<readonly [string, number]>): unknown {
+  return { b: [...entries] };
 }
 
-export function readBegun(value: unknown): number | null {
+export function readBegun(value: unknown): [string, number][] | null {
   const record = begunRecord.safeParse(value);
-  return record.success ? record.data.n : null;
+  return record.success ? record.data.b : null;
 }
 
 export function chunkValue(bits: Uint8Array): unknown {
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -5,12 +5,14 @@
 import { RateBudget } from './budget.ts';
 
 /** What came of a call. `unknown`: it may have been carried out, or may be later. `refused`: it was not. */
-export type StoreResult<T> = { kind: 'ok'; value: T } | { kind: 'refused' } | { kind: 'unknown' };
+/** `overLimit`: for its rate, by the service or by this node's own share. */
+type Refused = { kind: 'refused'; overLimit?: boolean };
+export type StoreResult<T> = { kind: 'ok'; value: T } | Refused | { kind: 'unknown' };
 export type TxnResult =
   | { kind: 'ok'; revision: number }
   | { kind: 'conflict'; failed: string[] }
   | { kind: 'no_lease' }
-  | { kind: 'refused' }
+  | Refused
   | { kind: 'unknown' };
 
 /** How urgent a call is: each less urgent kind leaves permits in the budget for the ones before it. */
@@ -67,7 +69,7 @@
 
   private settle<T>(result: HttpResult, decode: (text: string) => Decoded<T>): StoreResult<T> {
     if (result.kind === 'silent') return result.sent ? { kind: 'unknown' } : { kind: 'refused' };
-    if (result.status !== 200) return { kind: 'refused' };
+    if (result.status !== 200) return { kind: 'refused', overLimit: result.status === 429 };
     const decoded = decode(result.body);
     if (decoded.ok) return { kind: 'ok', value: decoded.value };
     this.log.error({ reason: decoded.reason }, 'store: malformed answer');
@@ -109,9 +111,10 @@
     conditions: readonly wire.Condition[],
     changes: readonly wire.Change[],
     urgency: Urgency,
+    timeoutMs = WRITE_TIMEOUT_MS,
   ): Promise<TxnResult> {
     const body = wire.encodeTxn(conditions, changes);
-    const result = await this.call('POST', wire.STATE_PATHS.txn, body, WRITE_TIMEOUT_MS, urgency);
+    const result = await this.call('POST', wire.STATE_PATHS.txn, body, timeoutMs, urgency);
     if (result.kind === 'answer' && result.status === 409) {
       const failed = wire.decodeConflict(result.body);
       return failed.ok ? { kind: 'conflict', failed: failed.value } : { kind: 'unknown' };
--- a/test/jobs/door.test.ts
+++ b/test/jobs/door.test.ts
@@ -6,8 +6,11 @@
 import { UserDoor } from '../../src/jobs/door.ts';
 import { FinalCache } from '../../src/jobs/finals.ts';
 import type { MeshReply, MeshRequest } from '../../src/mesh/frames.ts';
+import { RateBudget } from '../../src/store/budget.ts';
+import { KEYS } from '../../src/store/keys.ts';
 import type { StoreClient } from '../../src/store/client.ts';
 import { BIG, FakeClock } from '../helpers.ts';
+import { MemoryStore } from '../store/memory.ts';
 import { JOB } from '../wire/sample.ts';
 
 /** A controller that the state service refuses alone and that knows of no leader. */
@@ -23,6 +26,7 @@
     options: defaultOptions(),
     store,
     finals: new FinalCache(10),
+    submissions: new RateBudget(10, () => 0),
     teams: [{ name: 'vision', cpus: 0, gpus: 8, cpusMax: 0, gpusMax: 1000 }],
     catalog: () => new Catalog([{ ...BIG, name: 'g8', cpus: 96, gpus: 8, memory: 768 }]),
     leader: () => null,
@@ -73,3 +77,102 @@
   assert.equal(busy.status, 503);
   assert.ok((busy.retryAfterS ?? 0) >= 1);
 });
+
+/** A follower with the state service at hand and no leader to ask. */
+function follower(
+  store: MemoryStore,
+  perSecond = 5,
+): { door: UserDoor; clock: FakeClock; asked: MeshRequest[] } {
+  const clock = new FakeClock();
+  const asked: MeshRequest[] = [];
+  const door = new UserDoor({
+    clock,
+    options: defaultOptions(),
+    store: store as unknown as StoreClient,
+    finals: new FinalCache(1),
+    submissions: new RateBudget(perSecond, () => clock.now()),
+    teams: [{ name: 'vision', cpus: 0, gpus: 8, cpusMax: 0, gpusMax: 1000 }],
+    catalog: () => new Catalog([{ ...BIG, name: 'g8', cpus: 96, gpus: 8, memory: 768 }]),
+    leader: () => null,
+    actAlone: () => () => undefined,
+    askLeader: () => Promise.resolve(null),
+    askOthers: (request) => {
+      asked.push(request);
+      return Promise.resolve(null);
+    },
+  });
+  return { door, clock, asked };
+}
+
+const jobId = (n: number): string => `req-${String(n).padStart(6, '0')}`;
+const submit = (door: UserDoor, n: number): Promise<Answer> =>
+  answer((reply) => {
+    door.submit(JSON.stringify({ ...JOB, uid: jobId(n) }), reply);
+  });
+const poll = (door: UserDoor, n: number): Promise<Answer> =>
+  answer((reply) => {
+    door.poll(jobId(n), reply);
+  });
+const stage = (a: Answer): unknown => (JSON.parse(a.body) as { stage?: string }).stage;
+
+test('a final state takes the place of the open record, and is told wherever it is moved later', async () => {
+  const store = new MemoryStore();
+  const { door } = follower(store);
+  assert.equal((await submit(door, 1)).status, 201);
+  assert.equal(stage(await poll(door, 1)), 'pending');
+  const cancelled = await answer((reply) => {
+    door.cancel(jobId(1), reply);
+  });
+  assert.equal(stage(cancelled), 'aborted');
+  assert.deepEqual([...store.data.keys()], [KEYS.open(jobId(1))]);
+  // From here on by nodes that remember nothing, before and after the move to the archive.
+  for (const place of ['record', 'archive']) {
+    const other = follower(store).door;
+    assert.equal(stage(await poll(other, 1)), 'aborted', place);
+    const again = await submit(follower(store).door, 1);
+    assert.deepEqual([again.status, stage(again)], [200, 'aborted'], place);
+    const cancelledAgain = await answer((reply) => {
+      follower(store).door.cancel(jobId(1), reply);
+    });
+    assert.equal(stage(cancelledAgain), 'aborted', place);
+    const { value } = store.data.get(KEYS.open(jobId(1))) ?? { value: null };
+    if (place === 'record') {
+      store.apply([], [{ delete: KEYS.open(jobId(1)) }, { put: KEYS.final(jobId(1)), value }]);
+    }
+  }
+});
+
+test("submissions beyond this node's share are refused at once and cost the state service nothing", async () => {
+  const store = new MemoryStore();
+  const { door, clock, asked } = follower(store, 5);
+  const statuses: number[] = [];
+  for (let n = 0; n < 40; n++) {
+    const a = await submit(door, n);
+    statuses.push(a.status);
+    if (a.status !== 201) assert.ok((a.retryAfterS ?? 0) >= 1);
+  }
+  assert.equal(statuses.filter((s) => s === 201).length, 5);
+  assert.equal(statuses.filter((s) => s === 503).length, 35);
+  assert.equal(store.changes, 5);
+  clock.at += 1000;
+  assert.equal((await submit(door, 7)).status, 201);
+  // Refused for its rate by the service itself: this node leaves the changes to others for a while.
+  store.fates.push('over_limit');
+  assert.equal((await submit(door, 8)).status, 503);
+  const before = store.changes;
+  clock.at += 900;
+  assert.equal((await submit(door, 8)).status, 503);
+  assert.equal(store.changes, before);
+  clock.at += 300;
+  assert.equal((await submit(door, 8)).status, 201);
+  assert.deepEqual(asked, [], 'others were asked to spend what this node may not');
+});
+
+test('a submission that was carried out though its answer was lost is accepted after a look', async () => {
+  const store = new MemoryStore();
+  const { door } = follower(store);
+  store.fates.push('lost');
+  const a = await submit(door, 3);
+  assert.deepEqual([a.status, stage(a)], [200, 'pending']);
+  assert.equal(store.changes, 1);
+});
--- a/test/model/state.ts
+++ b/test/model/state.ts
@@ -7,6 +7,8 @@
 export class StateModel {
   readonly data = new Map<string, { value: unknown; version: number }>();
   revision = 1;
+  /** Puts and deletes asked for, also by transactions that found a condition unmet. */
+  changes = 0;
   outageUntil = 0;
   private leaseEnds = -Infinity;
   private leaseId = 0;
@@ -59,6 +61,7 @@
 
   apply(conditions: readonly Condition[], changes: readonly Change[]): TxnResult {
     this.expire();
+    this.changes += changes.length;
     const failed = conditions
       .filter((c) => (this.data.get(c.key)?.version ?? 0) !== c.version)
       .map((c) => c.key);
--- a/test/model/world.ts
+++ b/test/model/world.ts
@@ -7,11 +7,11 @@
 import type { Cloud, RentResult } from '../../src/fleet/cloud.ts';
 import { finalValue, openValue, readFinal } from '../../src/jobs/records.ts';
 import { validUntil } from '../../src/leadership/election.ts';
-import { RateBudget } from '../../src/store/budget.ts';
+import { LEADER_WRITES, RateBudget } from '../../src/store/budget.ts';
 import { KEYS } from '../../src/store/keys.ts';
 import { LeaderWriter } from '../../src/store/writer.ts';
 import type { ListedMachine, MachineTypeInfo, RentRequest } from '../../src/wire/cloud.ts';
-import { decodeStoredJob, type JobRequest, type JobStage } from '../../src/wire/user.ts';
+import { decodeStoredJob, type JobRequest, type JobStage, type JobStatus } from '../../src/wire/user.ts';
 import type { Command } from '../../src/wire/worker.ts';
 import { SETTINGS } from '../config/sample.ts';
 import { BIG } from '../helpers.ts';
@@ -114,6 +114,11 @@
   private readonly rentals = new Map<string, string[]>();
   private readonly catalog = new Catalog(TYPES);
 
+  /** Changes that were asked of the state service, but for elections. */
+  get changesWritten(): number {
+    return this.state.changes;
+  }
+
   constructor(
     readonly sim: Sim,
     private readonly guards: Guards,
@@ -330,6 +335,8 @@
         },
         readFence: () =>
           Promise.resolve(this.reachable(c) ? (this.state.data.get(KEYS.fence)?.version ?? 0) : null),
+        readLeader: () =>
+          Promise.resolve(this.reachable(c) ? (this.state.data.get(KEYS.leader)?.version ?? 0) : null),
         lost: () => {
           if (current()) this.stepDown(c);
         },
@@ -338,7 +345,7 @@
       held.version,
       this.state.data.get(KEYS.fence)?.version ?? 0,
       { txnOps: SETTINGS.settings.state.txn_ops, bytes: 50_000 },
-      new RateBudget(30, () => this.now(c)),
+      new RateBudget(SETTINGS.settings.state.write_rps * LEADER_WRITES, () => this.now(c)),
       this.log,
     );
     const leader: Leader = new Leader({
@@ -376,7 +383,7 @@
             if (worker && c.workersLostUntil <= this.sim.at) this.carry(worker, answer, c.index === 0, true);
           }),
         final: () => undefined,
-        isFinal: (id) => this.state.data.has(KEYS.final(id)),
+        isFinal: (id) => this.finalOf(id) !== null,
         post: (command) => {
           this.sim.after(0, () => {
             if (!current() || c.leader !== leader) return;
@@ -521,9 +528,14 @@
     const c = this.controllers[Math.floor(this.sim.random() * 3)]!;
     if (c.alive && c.leader?.cancel(id, (status) => this.tell(user, status.stage))) {
       this.batch(c);
-    } else if (!this.state.down && !this.state.hasLeader() && this.state.data.has(KEYS.open(id))) {
+    } else if (
+      !this.state.down &&
+      !this.state.hasLeader() &&
+      this.state.data.has(KEYS.open(id)) &&
+      !this.finalOf(id)
+    ) {
       const version = this.state.data.get(KEYS.open(id))!.version;
-      const changes = [{ delete: KEYS.open(id) }, { put: KEYS.final(id), value: finalValue('cancelled', 0) }];
+      const changes = [{ put: KEYS.open(id), value: finalValue('cancelled', 0) }];
       const result = this.state.apply(
         [
           { key: KEYS.leader, version: 0 },
@@ -566,16 +578,18 @@
 
   private look(user: UserJob): void {
     const { id } = user.job;
-    if (this.state.data.has(KEYS.open(id))) {
-      this.tell(user, 'pending');
-      return;
-    }
-    const final = this.state.data.get(KEYS.final(id));
-    const status = final ? readFinal(final.value) : null;
+    const status = this.finalOf(id);
     if (status) this.tell(user, status.stage);
+    else if (this.state.data.has(KEYS.open(id))) this.tell(user, 'pending');
     else this.broken.push(`forgotten ${id}`);
   }
 
+  /** The final state of a job in the store, in the place of its open record or archived. */
+  private finalOf(id: string): JobStatus | null {
+    const record = this.state.data.get(KEYS.open(id)) ?? this.state.data.get(KEYS.final(id));
+    return record ? readFinal(record.value) : null;
+  }
+
   /** At a day's end, once all troubles have been over for `afterMs`: what is neither done nor known any more. */
   unserved(afterMs: number): string[] {
     if (this.sim.at < this.calmAt + afterMs) return [];
--- a/test/store/writer.test.ts
+++ b/test/store/writer.test.ts
@@ -4,7 +4,7 @@
 import { RateBudget } from '../../src/store/budget.ts';
 import type { TxnResult } from '../../src/store/client.ts';
 import { KEYS } from '../../src/store/keys.ts';
-import { LeaderWriter } from '../../src/store/writer.ts';
+import { LeaderWriter, type WriteLane } from '../../src/store/writer.ts';
 import type { Change, Condition } from '../../src/wire/state.ts';
 import { FakeClock, SEED, silent } from '../helpers.ts';
 
@@ -15,6 +15,8 @@
   revision = 10;
   late: { conditions: readonly Condition[]; changes: readonly Change[] }[] = [];
 
+  sent = 0;
+
   constructor(private readonly fates: ('ok' | 'lost' | 'late' | 'refused')[]) {}
 
   apply(conditions: readonly Condition[], changes: readonly Change[]): TxnResult {
@@ -34,6 +36,7 @@
   }
 
   txn(conditions: readonly Condition[], changes: readonly Change[]): Promise<TxnResult> {
+    this.sent += 1;
     const fate = this.fates.shift() ?? 'ok';
     if (fate === 'refused') return Promise.resolve({ kind: 'refused' });
     if (fate === 'late') {
@@ -45,12 +48,17 @@
   }
 }
 
-function writerOn(store: FlakyStore, lost: string[]): LeaderWriter {
-  const clock = new FakeClock();
+function writerOn(
+  store: FlakyStore,
+  lost: string[],
+  clock = new FakeClock(),
+  { txnOps, perSecond } = { txnOps: 4, perSecond: 1000 },
+): LeaderWriter {
   return new LeaderWriter(
     {
       txn: (conditions, changes) => store.txn(conditions, changes),
       readFence: () => Promise.resolve(store.versions.get(KEYS.fence) ?? 0),
+      readLeader: () => Promise.resolve(store.versions.get(KEYS.leader) ?? 0),
       lost: (reason) => lost.push(reason),
       pause: (ms) => {
         clock.at += ms;
@@ -59,8 +67,8 @@
     },
     5,
     0,
-    { txnOps: 4, bytes: 10_000 },
-    new RateBudget(1000, () => clock.now()),
+    { txnOps, bytes: 10_000 },
+    new RateBudget(perSecond, () => clock.now()),
     silent,
   );
 }
@@ -79,7 +87,7 @@
         const writer = writerOn(store, lost);
         const done: number[] = [];
         for (let i = 0; i < writes; i++) {
-          writer.push({ changes: [{ put: 'k', value: i }], done: () => done.push(i) }, false);
+          writer.push({ changes: [{ put: 'k', value: i }], done: () => done.push(i) }, 'progress');
           if (i % 2 === 1) await settle();
         }
         for (let i = 0; i < 60; i++) await settle();
@@ -100,9 +108,92 @@
   const lost: string[] = [];
   const writer = writerOn(store, lost);
   let done = false;
-  writer.push({ changes: [{ put: 'k', value: 1 }], done: () => (done = true) }, true);
+  writer.push({ changes: [{ put: 'k', value: 1 }], done: () => (done = true) }, 'ends');
   for (let i = 0; i < 5; i++) await settle();
   assert.equal(lost.length, 1);
   assert.equal(done, false);
   assert.equal(store.values.has('k'), false);
 });
+
+test('a write whose answer is lost is settled by a look, and not sent again', async () => {
+  // It was sent again after 2 s, again and again, while others read from the store what it had written.
+  const store = new FlakyStore(['lost', 'late']);
+  const clock = new FakeClock();
+  const lost: string[] = [];
+  const writer = writerOn(store, lost, clock);
+  const done: string[] = [];
+  writer.push({ changes: [{ put: 'a', value: 1 }], done: () => done.push('a') }, 'ends');
+  for (let i = 0; i < 10; i++) await settle();
+  assert.deepEqual([done, store.sent, clock.at], [['a'], 1, 0]);
+  // One that was not carried out is sent again at once; its late copy changes nothing.
+  writer.push({ changes: [{ put: 'a', value: 2 }], done: () => done.push('b') }, 'ends');
+  for (let i = 0; i < 10; i++) await settle();
+  assert.deepEqual([done, store.sent, clock.at], [['a', 'b'], 3, 0]);
+  for (const l of store.late) assert.equal(store.apply(l.conditions, l.changes).kind, 'conflict');
+  assert.deepEqual(lost, []);
+});
+
+test('a fence that another leader moved does not confirm a write', async () => {
+  // The transaction is never carried out; another controller takes the lead and writes.
+  const store = new FlakyStore(['late']);
+  const lost: string[] = [];
+  const writer = writerOn(store, lost);
+  let done = false;
+  writer.push({ changes: [{ put: 'k', value: 1 }], done: () => (done = true) }, 'ends');
+  store.versions.set(KEYS.leader, 11);
+  store.versions.set(KEYS.fence, 12);
+  store.revision = 12;
+  for (let i = 0; i < 10; i++) await settle();
+  assert.equal(done, false);
+  assert.equal(lost.length, 1);
+  for (const l of store.late) assert.equal(store.apply(l.conditions, l.changes).kind, 'conflict');
+});
+
+test('ends go before notes of starts, these before finished tasks, and housekeeping goes last', async () => {
+  const store = new FlakyStore([]);
+  const clock = new FakeClock();
+  const writer = writerOn(store, [], clock, { txnOps: 4, perSecond: 10 });
+  const order: string[] = [];
+  const push = (name: string, lane: WriteLane): void => {
+    writer.push({ changes: [{ put: name, value: 1 }], done: () => order.push(name) }, lane);
+  };
+  for (const lane of ['background', 'progress', 'starts', 'ends'] as const) {
+    for (let i = 0; i < 5; i++) push(`${lane}${i}`, lane);
+  }
+  for (let i = 0; i < 400; i++) await settle();
+  const expected = ['ends', 'starts', 'progress', 'background'].flatMap((lane) =>
+    [0, 1, 2, 3, 4].map((i) => `${lane}${i}`),
+  );
+  assert.deepEqual(order, expected);
+});
+
+test('a write to an idle store waits for nothing; many share transactions and stay within the budget', async () => {
+  const store = new FlakyStore([]);
+  const clock = new FakeClock();
+  const writer = writerOn(store, [], clock, { txnOps: 12, perSecond: 15 });
+  let done = 0;
+  const push = (): void => {
+    writer.push({ changes: [{ put: `k${done}`, value: 1 }], done: () => (done += 1) }, 'ends');
+  };
+  push();
+  for (let i = 0; i < 5; i++) await settle();
+  assert.deepEqual([done, clock.at], [1, 0]);
+  for (let i = 0; i < 110; i++) push();
+  for (let i = 0; i < 600; i++) await settle();
+  assert.equal(done, 111);
+  assert.ok(store.sent <= 14, `${store.sent} transactions`);
+  // 111 changes and a fence for each transaction, less the second's worth that was there.
+  assert.ok(clock.at >= ((111 + store.sent - 15) / 15) * 1000 - 1 && clock.at < 10_000, `${clock.at} ms`);
+});
+
+test('what is written late takes the value of the moment at which it is sent', async () => {
+  const store = new FlakyStore([]);
+  const clock = new FakeClock();
+  const writer = writerOn(store, [], clock, { txnOps: 3, perSecond: 3 });
+  let value = 0;
+  for (let i = 0; i < 4; i++)
+    writer.push({ changes: [{ put: `k${i}`, value: i }], done: () => (value += 1) }, 'ends');
+  writer.push({ bytes: 10, build: () => ({ put: 'page', value }), done: () => undefined }, 'starts');
+  for (let i = 0; i < 200; i++) await settle();
+  assert.equal(store.values.get('page'), 4);
+});
