--- a/src/core/rounds.ts
+++ b/src/core/rounds.ts
@@ -20,6 +20,8 @@
 const MOST_MADE_ROOM = 8;
 /** Time for orders and reports around a stop or a start. */
 const SETTLE_S = 2;
+/** How long the room that is made for a gang is kept, besides the time that the stopped tasks save. */
+const KEEP_ROOM_S = 6;
 /** Rounds take at most about this share of the time, however slow the processor is. */
 const MOST_SHARE = 0.3;
 const BUSY_SHARE = 0.1;
@@ -197,8 +199,10 @@
       const guaranteeAfterMs = result.unplaced.has(group.job)
         ? this.deps.options.scheduling.guarantee_after_s * 1000
         : Infinity;
-      const pick = (zone: number): Attempt[] | null =>
-        pickVictims(
+      let counted = new Set<number>();
+      const pick = (zone: number): Attempt[] | null => {
+        counted = new Set();
+        return pickVictims(
           { ...group, zone },
           waitingOf(group),
           machines,
@@ -206,7 +210,9 @@
           teamRoom,
           guaranteeAfterMs,
           result.reserved,
+          counted,
         );
+      };
       // Room is made in the zone that the round has chosen: made elsewhere it came to nothing, and was made twice.
       let chosen = pick(result.zones.get(group.job) ?? group.zone);
       if (chosen?.length === 0 && result.zones.has(group.job)) {
@@ -214,6 +220,9 @@
         const job = this.cluster.jobList.get(group.job);
         if (job && chosen?.[0]) job.zoneHint = chosen[0].machine.zone;
       }
+      const job = this.cluster.jobList.get(group.job);
+      if (job && group.gang && (chosen === null || chosen.length > 0))
+        this.keepRoom(job, counted, chosen ?? []);
       if (!chosen) continue;
       const id = this.cluster.jobList.get(group.job)?.id ?? '?';
       for (const a of chosen) this.stopOrderly(a, `preempted for ${id}`);
@@ -221,6 +230,17 @@
     }
   }
 
+  /**
+   * What was stopped for a gang must not make room for others: small tasks took it before the last of its machines
+   * was free, and were stopped again in turn.
+   */
+  private keepRoom(job: Job, machines: ReadonlySet<number>, stopped: readonly Attempt[]): void {
+    const saveS = Math.max(0, ...stopped.map((a) => a.job?.spec.saveS ?? 0));
+    const until = this.now() + (saveS + KEEP_ROOM_S) * 1000;
+    if (stopped.length > 0) job.roomMade = { machines, until };
+    else if (job.roomMade) job.roomMade = { machines, until: job.roomMade.until };
+  }
+
   /**
    * A single task that must start soon and would spend its time fetching: if tasks of lower rank that can save
    * hold a machine with its image, they make room there. True if the task waits for that room.
--- a/src/core/views.ts
+++ b/src/core/views.ts
@@ -48,6 +48,7 @@
 /** A start that is undone at once was for nothing: others are stopped rather. */
 const JUST_STARTED_MS = 30_000;
 const JUST_STARTED_S = 5;
+const NO_MACHINES: ReadonlySet<number> = new Set();
 
 /** The work that waits, of each job against what the jobs of its class have on average. */
 class MeanWork {
@@ -287,6 +288,7 @@
         imageGb: spec.imageGb,
         avoid: job.avoid,
         only: job.aim && now <= job.aim.until ? job.aim.machine : -1,
+        roomMade: job.roomMade && now <= job.roomMade.until ? job.roomMade.machines : NO_MACHINES,
         patienceS,
         slackS,
         guaranteed: false,
@@ -344,6 +346,7 @@
       imageGb: 0,
       avoid: new Set(),
       only: -1,
+      roomMade: NO_MACHINES,
       patienceS: scheduling.spare_patience_s,
       slackS: Infinity,
       guaranteed: false,
--- a/src/core/warmup.ts
+++ b/src/core/warmup.ts
@@ -45,6 +45,7 @@
     imageGb: 2,
     avoid: new Set(),
     only: -1,
+    roomMade: new Set<number>(),
     patienceS: 10,
     slackS: 20 * job - 20,
     guaranteed: job % 2 === 0,
--- a/src/scheduling/preempt.ts
+++ b/src/scheduling/preempt.ts
@@ -43,10 +43,12 @@
   teamRoom: readonly TeamRoom[],
   guaranteeAfterMs: number,
   reserved: ReadonlyMap<number, number>,
+  /** Takes the machines that the group will find its room on, those with room already included. */
+  counted: Set<number> = new Set(),
 ): T[] | null {
   let want = Math.min(waiting, teamFits(group.need, teamRoom[group.team]!));
   if (group.gang && want < group.pending) return [];
-  const plans: { items: T[]; count: number; loss: number; zone: number }[] = [];
+  const plans: { machine: number; items: T[]; count: number; loss: number; zone: number }[] = [];
   for (const m of machines) {
     if (m.bootsInS > 0 || group.avoid.has(m.machine)) continue;
     // A machine kept free for another job would take that job's tasks, and the stopped ones would come to nothing.
@@ -61,6 +63,7 @@
     const already = fits(group.need, free);
     if (already > 0) {
       // Free room, or room that is being made: the next rounds will use it.
+      if (want > 0) counted.add(m.machine);
       want -= Math.min(want, already);
       continue;
     }
@@ -75,7 +78,7 @@
       loss += v.lossS + 2;
     }
     const count = fits(group.need, free);
-    if (count > 0 && items.length > 0) plans.push({ items, count, loss, zone: m.zone });
+    if (count > 0 && items.length > 0) plans.push({ machine: m.machine, items, count, loss, zone: m.zone });
   }
   if (want <= 0) return null;
   plans.sort((a, b) => a.loss / a.count - b.loss / b.count);
@@ -85,6 +88,7 @@
     if (want <= 0) break;
     if (zone !== undefined && plan.zone !== zone) continue;
     chosen.push(...plan.items);
+    counted.add(plan.machine);
     want -= plan.count;
   }
   // A gang gains nothing from room for a part of it.
--- a/src/scheduling/round.ts
+++ b/src/scheduling/round.ts
@@ -134,7 +134,11 @@
   const groups = inTurn(keyed, options.maxGroups, options.turn).map((k) => k.group);
   result.leftOut = keyed.length - groups.length;
   result.reserved = reserve(groups, machines, sizeOf, options);
-  for (const group of groups) if (group.only >= 0) result.reserved.set(group.only, group.job);
+  for (const group of groups) {
+    if (group.only >= 0) result.reserved.set(group.only, group.job);
+    for (const machine of group.roomMade)
+      if (!result.reserved.has(machine)) result.reserved.set(machine, group.job);
+  }
   const needs = new Needs();
   for (const group of groups) needs.index(group.need);
   const targets = makeTargets(groups, needs, machines, rentable, result.reserved);
--- a/src/scheduling/view.ts
+++ b/src/scheduling/view.ts
@@ -35,6 +35,8 @@
   avoid: ReadonlySet<number>;
   /** The only machine it takes for now, since room is being made there; or -1. */
   only: number;
+  /** Machines on which room was made for it a moment ago: they are kept for it. */
+  roomMade: ReadonlySet<number>;
   /** How much longer than a rented machine's boot the job would rather wait for room on a present one. */
   patienceS: number;
   /** How long it can still wait without being late; Infinity: nothing is expected of it, -1: it is late. */
--- a/test/helpers.ts
+++ b/test/helpers.ts
@@ -52,6 +52,7 @@
     imageGb: 0,
     avoid: new Set(),
     only: -1,
+    roomMade: new Set(),
     patienceS: 0,
     slackS: Infinity,
     guaranteed: false,
