Room made for a gang is kept before who waits long takes it, and in one zone

Cause: jobs that wait over 60 s keep the machines free that fit soonest, which were those just emptied for a gang; and a gang bound to one zone chose another zone in the next round. Both made it stop others elsewhere, again and again.

--- a/src/core/rounds.ts
+++ b/src/core/rounds.ts
@@ -237,8 +237,9 @@
   private keepRoom(job: Job, machines: ReadonlySet<number>, stopped: readonly Attempt[]): void {
     const saveS = Math.max(0, ...stopped.map((a) => a.job?.spec.saveS ?? 0));
     const until = this.now() + (saveS + KEEP_ROOM_S) * 1000;
-    if (stopped.length > 0) job.roomMade = { machines, until };
-    else if (job.roomMade) job.roomMade = { machines, until: job.roomMade.until };
+    const first = stopped[0];
+    if (first) job.roomMade = { machines, zone: first.machine.zone, until };
+    else if (job.roomMade) job.roomMade = { ...job.roomMade, machines };
   }
 
   /**
--- a/src/core/views.ts
+++ b/src/core/views.ts
@@ -241,6 +241,14 @@
     return found;
   }
 
+  /** The only zone in which a job may be, or -1: its own, or the one in which room is being made for it. */
+  private zoneOf(job: Job, now: number): number {
+    const { spec, roomMade } = job;
+    if (spec.zone !== null) return this.deps.zones.index(spec.zone);
+    // Choosing another zone meanwhile, a gang stopped others in both, again and again.
+    return spec.oneZone && roomMade && now <= roomMade.until ? roomMade.zone : -1;
+  }
+
   groups(): GroupView[] {
     const now = this.deps.host.clock.now();
     const accounted = this.c.allAccounted();
@@ -274,7 +282,7 @@
         priority: spec.priority,
         need: roomOf(spec),
         types: spec.types ? new Set(spec.types.map((t) => this.deps.catalog.typeIndex(t))) : null,
-        zone: spec.zone === null ? -1 : this.deps.zones.index(spec.zone),
+        zone: this.zoneOf(job, now),
         spot: spec.spot,
         // A single task is in one zone whatever its job says, so the flow may choose among all.
         oneZone: spec.oneZone && spec.tasks > 1,
--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -40,7 +40,7 @@
   /** A machine on which room is being made for it, and until when it waits for that. */
   aim: { machine: number; until: number } | null = null;
   /** Machines (by index) on which others were stopped for it or that it waits for besides, and until when. */
-  roomMade: { machines: ReadonlySet<number>; until: number } | null = null;
+  roomMade: { machines: ReadonlySet<number>; zone: number; until: number } | null = null;
   /** The zone that the last round chose for a job that must stay in one, or -1. */
   zoneHint = -1;
   /** Machines (by index) on which a task of this job failed. */
--- a/src/scheduling/round.ts
+++ b/src/scheduling/round.ts
@@ -42,6 +42,8 @@
   options: RoundOptions,
 ): Map<number, number> {
   const reserved = new Map<number, number>();
+  // Others were stopped there for it: who waits long would take it, being free, and more be stopped elsewhere.
+  for (const group of groups) for (const machine of group.roomMade) reserved.set(machine, group.job);
   const waiting = groups.filter((g) => !g.expected && g.waitedMs >= options.reserveAfterMs);
   waiting.sort((a, b) => b.waitedMs - a.waitedMs);
   for (const group of waiting.slice(0, MOST_KEEPING)) {
@@ -136,8 +138,6 @@
   result.reserved = reserve(groups, machines, sizeOf, options);
   for (const group of groups) {
     if (group.only >= 0) result.reserved.set(group.only, group.job);
-    for (const machine of group.roomMade)
-      if (!result.reserved.has(machine)) result.reserved.set(machine, group.job);
   }
   const needs = new Needs();
   for (const group of groups) needs.index(group.need);
