--- a/test/scheduling/round.test.ts
+++ b/test/scheduling/round.test.ts
@@ -209,6 +209,70 @@
   assert.equal(result.reserved.get(0), 0);
 });
 
+test('room that was made for a gang is kept for it, also from who waits long', () => {
+  // Small tasks took it before the last of the gang's machines was free, and were stopped again in turn.
+  const views = [0, 1, 2].map((n) => machine({ machine: n }));
+  const need = { cpus: 4, gpus: 0, memory: 4 };
+  const gang = group({
+    job: 0,
+    gang: true,
+    priority: 2,
+    pending: 3,
+    need,
+    waitedMs: 20_000,
+    roomMade: new Set([0, 1]),
+  });
+  const full = views.map((v) => (v.machine === 2 ? { ...v, free: { cpus: 0, gpus: 0, memory: 0 } } : v));
+  const old = group({ job: 1, waitedMs: 61_000 });
+  const young = group({ job: 2, pending: 2 });
+  const waiting = runRound([gang, old, young], full, [], FREE_TEAM, sizeOf, OPTIONS);
+  assert.deepEqual(waiting.placements, [], 'its machines are left alone');
+  assert.deepEqual([waiting.reserved.get(0), waiting.reserved.get(1)], [0, 0]);
+  const started = runRound([gang, young], views, [], FREE_TEAM, sizeOf, OPTIONS);
+  const placed = started.placements.filter((p) => p.job === 0);
+  assert.equal(
+    placed.reduce((n, p) => n + p.count, 0),
+    3,
+  );
+  const others = runRound(
+    [{ ...gang, roomMade: new Set() }, old, young],
+    full,
+    [],
+    FREE_TEAM,
+    sizeOf,
+    OPTIONS,
+  );
+  assert.ok(others.placements.length > 0, 'without it they would be taken');
+});
+
+test('the machines that a gang is to use are those emptied for it and those with room already', () => {
+  const views = [
+    machine({ machine: 0 }),
+    machine({ machine: 1, free: { cpus: 0, gpus: 0, memory: 8 }, load: 1 }),
+    machine({ machine: 2, free: { cpus: 0, gpus: 0, memory: 8 }, load: 1 }),
+  ];
+  const need = { cpus: 4, gpus: 0, memory: 1 };
+  const gang = group({ gang: true, priority: 2, pending: 2, need });
+  const victimsOn = (index: number): VictimView<string>[] =>
+    index === 0
+      ? []
+      : [
+          {
+            item: `t${index}`,
+            priority: 1,
+            team: 0,
+            beyondGuarantee: false,
+            stopping: false,
+            need: { cpus: 4, gpus: 0, memory: 1 },
+            lossS: index,
+          },
+        ];
+  const counted = new Set<number>();
+  const chosen = pickVictims(gang, 2, views, victimsOn, FREE_TEAM, Infinity, new Map(), counted);
+  assert.deepEqual(chosen, ['t1']);
+  assert.deepEqual([...counted], [0, 1]);
+});
+
 test('victims are taken only for what then fits, and not while room is being made', () => {
   const views = [machine({ free: { cpus: 0, gpus: 0, memory: 8 } })];
   const victim = (over: Partial<VictimView<string>>): VictimView<string> => ({
