--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -15,7 +15,7 @@
 import type { MeshReply, MeshRequest, PollAnswer } from '../mesh/frames.ts';
 import { askAny } from '../mesh/ask.ts';
 import { Reach } from '../mesh/reach.ts';
-import { RateBudget } from '../store/budget.ts';
+import { LEADER_WRITES, RateBudget, submissionsPerSecond } from '../store/budget.ts';
 import { moreUrgent, StoreClient, type StoreResult, type Urgency } from '../store/client.ts';
 import { KEYS } from '../store/keys.ts';
 import { LeaderWriter } from '../store/writer.ts';
@@ -147,9 +147,11 @@
       options,
       store: {
         get: (key, urgency) => this.reads.get(key, urgency),
-        txn: (conditions, changes, urgency) => this.store.txn(conditions, changes, urgency),
+        txn: (conditions, changes, urgency, timeoutMs) =>
+          this.store.txn(conditions, changes, urgency, timeoutMs),
       },
       finals: this.finals,
+      submissions: new RateBudget(submissionsPerSecond(state.write_rps, settings.settings.nodes), now),
       teams: this.teams,
       catalog: () => this.catalog,
       leader: () => this.localLeader(),
@@ -295,7 +297,7 @@
   private keepCatalog(writer: LeaderWriter): void {
     const value = catalogValue(this.catalog!);
     if (JSON.stringify(value).length > this.settings.settings.state.value_kb * 1000) return;
-    writer.push({ changes: [{ put: KEYS.catalog, value }], done: () => undefined }, false);
+    writer.push({ changes: [{ put: KEYS.catalog, value }], done: () => undefined }, 'background');
   }
 
   // ---- leadership ----
@@ -377,11 +379,17 @@
     const endWrites = new EndWrites();
     const writer = new LeaderWriter(
       {
-        txn: endWrites.noting((conditions, changes) => this.store.txn(conditions, changes, 'lease')),
+        txn: endWrites.noting((conditions, changes, timeoutMs) =>
+          this.store.txn(conditions, changes, 'lease', timeoutMs),
+        ),
         readFence: async () => {
           const read = await this.store.get(KEYS.fence, 'lease');
           return read.kind === 'ok' ? (read.value?.version ?? 0) : null;
         },
+        readLeader: async () => {
+          const read = await this.store.get(KEYS.leader, 'lease');
+          return read.kind === 'ok' ? (read.value?.version ?? 0) : null;
+        },
         lost: (reason) => {
           this.endLeadership(held, reason);
         },
@@ -390,7 +398,7 @@
       held.version,
       fence.value?.version ?? 0,
       { txnOps: state.txn_ops, bytes: 56 * 1024 },
-      new RateBudget(state.write_rps * 0.7, () => this.clock.now()),
+      new RateBudget(state.write_rps * LEADER_WRITES, () => this.clock.now()),
       this.log,
     );
     const leader = new Leader({
@@ -482,14 +490,9 @@
       const listed = await this.store.list(KEYS.openPrefix, 'lease');
       if (listed.kind !== 'ok') continue;
       revision = listed.value.revision;
-      const events = listed.value.items.map((i) => ({
-        key: i.key,
-        deleted: false,
-        value: i.value,
-        version: i.version,
-      }));
+      const { items } = listed.value;
       this.owner.post(() => {
-        if (this.leader === leader) leader.onStoreEvents(events);
+        if (this.leader === leader) leader.onStoreListed(items);
       });
     }
   }
--- a/src/jobs/end-writes.ts
+++ b/src/jobs/end-writes.ts
@@ -2,21 +2,25 @@
 import { KEYS } from '../store/keys.ts';
 import type { Change, Condition } from '../wire/state.ts';
 
-type Transact = (conditions: readonly Condition[], changes: readonly Change[]) => Promise<TxnResult>;
+type Transact = (
+  conditions: readonly Condition[],
+  changes: readonly Change[],
+  timeoutMs: number,
+) => Promise<TxnResult>;
 
 /** `sent`: every attempt so far was refused, the last one is under way. */
 type Attempt = 'sent' | 'perhaps carried out';
 
 function endedJobs(changes: readonly Change[]): string[] {
-  const keys = changes.map((change) => ('put' in change ? change.put : change.delete));
-  return keys
+  const written = changes.flatMap((change) => ('put' in change ? [change.put] : []));
+  return written
     .filter((key) => key.startsWith(KEYS.openPrefix))
     .map((key) => key.slice(KEYS.openPrefix.length));
 }
 
 /**
  * Of which jobs the final record may be in the state service by now, as far as a leader's transactions tell. The end
- * of a job is the only change that a leader makes to its open record. An end that waits to be sent, or that was
+ * of a job is the only value that a leader puts in the place of its open record; moves to the archive delete that. An end that waits to be sent, or that was
  * always refused (as in an outage), has surely not been written, so its job is still open for certain.
  */
 export class EndWrites {
@@ -24,10 +28,10 @@
 
   /** The same transactions, with their outcomes noted. */
   noting(transact: Transact): Transact {
-    return async (conditions, changes) => {
+    return async (conditions, changes, timeoutMs) => {
       const ids = endedJobs(changes);
       for (const id of ids) if (!this.attempts.has(id)) this.attempts.set(id, 'sent');
-      const result = await transact(conditions, changes);
+      const result = await transact(conditions, changes, timeoutMs);
       for (const id of ids) this.answered(id, result);
       return result;
     };
--- a/test/core/harness.ts
+++ b/test/core/harness.ts
@@ -3,9 +3,9 @@
 import { Intern } from '../../src/core/intern.ts';
 import { Leader } from '../../src/core/leader.ts';
 import { Catalog } from '../../src/fleet/catalog.ts';
-import { openValue } from '../../src/jobs/records.ts';
+import { begunValue, openValue } from '../../src/jobs/records.ts';
 import { KEYS } from '../../src/store/keys.ts';
-import type { LeaderWriter, WriteJob } from '../../src/store/writer.ts';
+import type { LateWriteJob, LeaderWriter, WriteJob } from '../../src/store/writer.ts';
 import type { Item } from '../../src/wire/state.ts';
 import { decodeStoredJob, type JobRequest } from '../../src/wire/user.ts';
 import type { Command, Report, ReportedTask } from '../../src/wire/worker.ts';
@@ -134,7 +134,9 @@
       },
       writer: {
         backlog: 0,
-        push: (job: WriteJob) => {
+        idle: false,
+        push: (job: WriteJob | LateWriteJob) => {
+          if ('build' in job) job.build();
           job.done();
         },
         stop: () => undefined,
@@ -150,7 +152,7 @@
     const m = machines.map(([name, zone]) => [name, `${name}:9000`, BIG.name, zone, false]);
     this.leader.load({
       open: jobs.map((job) => item(KEYS.open(job.id), openValue(job, this.clock.wall()))),
-      begun: jobs.map((job) => item(KEYS.begun(job.id), { n: job.tasks })),
+      begun: [item(KEYS.begun(0), begunValue(new Map(jobs.map((job) => [job.id, job.tasks]))))],
       finished: [],
       roster: m.length > 0 ? [item(KEYS.machine(0), { m })] : [],
     });
--- a/test/core/standstill.test.ts
+++ b/test/core/standstill.test.ts
@@ -70,6 +70,7 @@
       {
         txn: () => Promise.resolve({ kind: 'ok', revision: 1 }),
         readFence: () => Promise.resolve(1),
+        readLeader: () => Promise.resolve(1),
         lost: () => undefined,
         pause: () => settle(),
       },
@@ -126,6 +127,7 @@
         txn: () => Promise.resolve({ kind: 'conflict', failed: [KEYS.open(ID)] }),
       },
       finals: new FinalCache(10),
+      submissions: new RateBudget(10, () => this.clock.now()),
       teams,
       catalog: () => catalog,
       leader: () => this.leader,
--- a/test/jobs/bad-submissions.test.ts
+++ b/test/jobs/bad-submissions.test.ts
@@ -13,6 +13,7 @@
 import { BIG, FakeClock, SEED } from '../helpers.ts';
 import { JOB } from '../wire/sample.ts';
 import { malformedSubmission } from '../wire/submissions.ts';
+import { RateBudget } from '../../src/store/budget.ts';
 
 const FITTING = { ...JOB, ovens: ['big'], cores: 1, accelerators: 1, memGb: 1, loaves: 2 };
 /** Whether the answer is 422 may hang on the settings alone, or on the machine types too. */
@@ -63,6 +64,7 @@
     options: defaultOptions(),
     store: { get, txn } as unknown as StoreClient,
     finals: new FinalCache(10),
+    submissions: new RateBudget(1000, () => 0),
     teams: [{ name: 'vision', cpus: 0, gpus: 8, cpusMax: 0, gpusMax: 1000 }],
     catalog: () => (situation.catalogKnown ? new Catalog([BIG]) : null),
     leader: () => null,
--- a/test/jobs/controllers.ts
+++ b/test/jobs/controllers.ts
@@ -7,7 +7,6 @@
 import { UserDoor } from '../../src/jobs/door.ts';
 import { EndWrites } from '../../src/jobs/end-writes.ts';
 import { FinalCache } from '../../src/jobs/finals.ts';
-import type { LeaderlessStep } from '../../src/leadership/election.ts';
 import type { MeshReply, MeshRequest } from '../../src/mesh/frames.ts';
 import { RateBudget } from '../../src/store/budget.ts';
 import type { StoreClient, StoreResult, TxnResult } from '../../src/store/client.ts';
@@ -19,6 +18,7 @@
 import { Sim } from '../model/sim.ts';
 import { StateModel } from '../model/state.ts';
 import { JOB } from '../wire/sample.ts';
+import { leaderlessStep } from './leaderless.ts';
 
 const READ_TIMEOUT_MS = 1500;
 const WRITE_TIMEOUT_MS = 2000;
@@ -186,10 +186,11 @@
       options: defaultOptions(),
       store: this.storeOf(c),
       finals: new FinalCache(users.final_cache),
+      submissions: new RateBudget(1000, () => 0),
       teams: [{ name: 'vision', cpus: 0, gpus: 8, cpusMax: 0, gpusMax: 1000 }],
       catalog: () => new Catalog([{ ...BIG, name: 'g8', cpus: 96, gpus: 8, memory: 768 }]),
       leader: () => this.localLeader(c),
-      actAlone: () => Promise.resolve(this.leaderlessStep(c)),
+      actAlone: () => Promise.resolve(leaderlessStep(this.storeOf(c))),
       askLeader: (request, timeoutMs) => {
         if (c.knownLeader === null || c.knownLeader === c.index) return Promise.resolve(null);
         return this.askNode(c, this.nodes[c.knownLeader]!, request, timeoutMs);
@@ -206,17 +207,6 @@
     });
   }
 
-  /** The store decides whether there is a leader when the step's transaction arrives. */
-  private leaderlessStep(c: Controller): LeaderlessStep {
-    const store = this.storeOf(c);
-    return {
-      term: 0,
-      commit: (conditions, changes, urgency) =>
-        store.txn([{ key: KEYS.leader, version: 0 }, ...conditions], changes, urgency),
-      abandon: () => undefined,
-    };
-  }
-
   private localLeader(c: Controller): ReturnType<ConstructorParameters<typeof UserDoor>[0]['leader']> {
     const { leader } = c;
     if (!leader) return null;
@@ -382,6 +372,10 @@
     const writer = new LeaderWriter(
       {
         txn: endWrites.noting((conditions, changes) => this.txn(c, conditions, changes)),
+        readLeader: async () => {
+          const leader = await this.get(c, KEYS.leader);
+          return leader.kind === 'ok' ? (leader.value?.version ?? 0) : null;
+        },
         readFence: async () => {
           const fence = await this.get(c, KEYS.fence);
           return fence.kind === 'ok' ? (fence.value?.version ?? 0) : null;
--- a/test/leadership/controllers.ts
+++ b/test/leadership/controllers.ts
@@ -12,6 +12,7 @@
 import { Sim } from '../model/sim.ts';
 import { JOB } from '../wire/sample.ts';
 import { LeaseModel, type StoreAccess } from './lease-model.ts';
+import { RateBudget } from '../../src/store/budget.ts';
 
 export interface Controller extends StoreAccess {
   index: number;
@@ -149,6 +150,7 @@
       options: defaultOptions(),
       store: store as unknown as StoreClient,
       finals: new FinalCache(100),
+      submissions: new RateBudget(1000, () => 0),
       teams: [],
       catalog: () => null,
       leader: () =>
--- a/test/leadership/lease-model.ts
+++ b/test/leadership/lease-model.ts
@@ -1,4 +1,5 @@
 import type { LeaseStore } from '../../src/leadership/election.ts';
+import { readFinal } from '../../src/jobs/records.ts';
 import { KEYS } from '../../src/store/keys.ts';
 import type { StoreResult, TxnResult } from '../../src/store/client.ts';
 import type { Change, Condition } from '../../src/wire/state.ts';
@@ -69,8 +70,11 @@
     return this.data.has(KEYS.leader);
   }
 
-  has(key: string): boolean {
-    return this.data.has(key);
+  /** What the store says of a job. */
+  jobRecord(id: string): 'none' | 'open' | 'final' {
+    const record = this.data.get(KEYS.open(id));
+    if (!record) return 'none';
+    return readFinal(record.value) ? 'final' : 'open';
   }
 
   put(key: string, value: unknown): void {
--- a/test/leadership/promises.test.ts
+++ b/test/leadership/promises.test.ts
@@ -1,6 +1,5 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
-import { KEYS } from '../../src/store/keys.ts';
 import { SEED } from '../helpers.ts';
 import { Controllers, type Controller } from './controllers.ts';
 
@@ -91,7 +90,7 @@
     c.crash(others[0], backMs);
     c.store.outage(LONG_MS);
     await staysUnsure(c, leader);
-    assert.ok(!c.store.has(KEYS.open(JOB_ID)), 'the transaction was carried out in the end');
+    assert.equal(c.store.jobRecord(JOB_ID), 'final', 'the transaction was carried out in the end');
   }
 });
 
@@ -103,7 +102,7 @@
   await c.run(150);
   c.store.outage(LONG_MS);
   await staysUnsure(c, leader);
-  assert.ok(!c.store.has(KEYS.open(JOB_ID)), 'the transaction was carried out in the end');
+  assert.equal(c.store.jobRecord(JOB_ID), 'final', 'the transaction was carried out in the end');
 });
 
 test('... nor after a newer leader was there, ended, and all others are back', async () => {
@@ -130,7 +129,7 @@
   others[1].election!.yieldFor(LONG_MS, 'rests');
   await c.run(12_000);
   assert.ok(!c.store.hasLeader(), 'nobody leads');
-  assert.ok(c.store.has(KEYS.open(JOB_ID)), 'the job is still open');
+  assert.equal(c.store.jobRecord(JOB_ID), 'open', 'the job is still open');
   assert.deepEqual(c.broken, []);
 });
 
