What is left of an older attempt does not end the work of a newer one

Cause: a new leader that found a task with two attempts stopped the one it heard of second, and of a gang with two runs all tasks. The older one is an exited task that is not cleared yet (one whose launch was in doubt stays for its session), or shows in a copy of an old report; so takeovers ended tasks and whole gangs that ran well. Change: numbers of attempts rise, and one starts only when all earlier ones are surely over, so the lower number is stopped; what is not of a gang's run neither joins nor ends it.

--- a/src/core/attempts.ts
+++ b/src/core/attempts.ts
@@ -102,12 +102,26 @@
     }
     // A task that an earlier leader started.
     this.cluster.hold(a);
-    // Done already, or held elsewhere: one of the two must go, and this one is the older news.
-    if (!job.adopt(a.task)) a.stopGraceS = 0;
+    if (!job.adopt(a.task)) this.stopOlder(job, a);
     if (job.ending !== null) a.stopGraceS = 0;
     if (job.spec.gang) this.gangs.adopt(job, a);
   }
 
+  /**
+   * Two attempts hold a task, or it is done already. An attempt starts once all earlier ones of its task are surely
+   * over, and has a higher number: the lower one is old news, and stopping the other would lose its work.
+   */
+  private stopOlder(job: Job, a: Attempt): void {
+    if (job.isDone(a.task)) {
+      this.cluster.stop(a, 0);
+      return;
+    }
+    for (const other of this.cluster.liveOf.get(job) ?? []) {
+      if (other === a || other.task !== a.task) continue;
+      this.cluster.stop(other.number < a.number ? other : a, 0);
+    }
+  }
+
   private onRunning(a: Attempt): void {
     if (a.job) a.job.running += 1;
     this.deps.host.log.debug(
--- a/src/core/gangs.ts
+++ b/src/core/gangs.ts
@@ -22,14 +22,22 @@
     return gang;
   }
 
-  /** A task of a gang that an earlier leader started. */
+  /**
+   * A task of a gang that an earlier leader started. A run begins once all tasks of earlier runs are surely over, and
+   * has a higher number: what is shown of a lower one has ended, or is old news, and must not end the run.
+   */
   adopt(job: Job, a: Attempt): void {
-    const gang = this.join(job, a);
-    if (gang.number !== a.number) {
-      this.log.info({ job: job.id }, 'tasks of two attempts of a gang: all are stopped');
-      this.end(job, gang);
+    const gang = this.cluster.gangs.get(job);
+    if (gang && a.number < gang.number) {
+      this.cluster.stop(a, 0);
+      return;
+    }
+    if (gang && a.number > gang.number) {
+      this.log.info({ job: job.id }, 'a newer run of a gang: what is left of the older one is stopped');
+      for (const member of gang.members) this.cluster.stop(member, 0);
+      this.cluster.gangs.delete(job);
     }
-    if (gang.ending) this.cluster.stop(a, 0);
+    if (this.join(job, a).ending) this.cluster.stop(a, 0);
   }
 
   end(job: Job, gang: Gang): void {
@@ -42,8 +50,7 @@
   /** A task is gone. Unless it is done, so is the run. */
   leave(job: Job, a: Attempt): void {
     const gang = this.cluster.gangs.get(job);
-    if (!gang) return;
-    gang.members.delete(a);
+    if (!gang?.members.delete(a)) return;
     if (gang.members.size === 0) this.cluster.gangs.delete(job);
     else if (a.cause !== 'done' && !gang.ending) this.end(job, gang);
   }
--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -170,6 +170,10 @@
     return bits;
   }
 
+  isDone(task: number): boolean {
+    return this.state[task]! >= DONE;
+  }
+
   isDurable(task: number): boolean {
     return this.final === 'done' || this.state[task] === DURABLE;
   }
--- a/test/core/leader.test.ts
+++ b/test/core/leader.test.ts
@@ -105,3 +105,34 @@
   const stop = { op: 'stop', jobId: 'req-000001', task: 0, attempt: 1, graceS: 0 };
   assert.deepEqual(h.leader.onReport(report(2)), [stop], 'the job is not open any more');
 });
+
+test('what is left of an older attempt does not end the work of a newer one', async () => {
+  // An exited member of an earlier run, not cleared yet, once ended the whole run that a new leader found.
+  const h = new LeaderHarness();
+  const gang = jobOf('req-000001', { shape: 'ensemble', loaves: 2 });
+  const array = jobOf('req-000002', { loaves: 1 });
+  const machines = ['n-1', 'n-2', 'n-3', 'n-4', 'n-5', 'n-6'];
+  h.load(
+    [gang, array],
+    machines.map((name) => [name, 'a']),
+  );
+  // A copy of an old report shows the first attempt of the array's task before its machine is heard.
+  h.leader.onReport(reportOf('n-1', 'a', { session: 1, seq: 1, token: OLD }, [task(array.id, 0, 3)]));
+  h.worker('n-1', 'a').seq = 9;
+  const ended = { phase: 'ended', cause: 'stopped' } as const;
+  h.worker('n-2', 'a').put(task(gang.id, 0, 4, ended));
+  const works = [
+    h.worker('n-3', 'a').put(task(gang.id, 0, 8)),
+    h.worker('n-4', 'a').put(task(gang.id, 1, 8)),
+    h.worker('n-5', 'a').put(task(array.id, 0, 6)),
+  ];
+  h.worker('n-6', 'a').put(task(gang.id, 1, 4, ended));
+  await h.pass(30);
+  for (const w of works) {
+    assert.deepEqual(
+      [...w.tasks.values()].map((t) => t.phase),
+      ['running'],
+      w.name,
+    );
+  }
+});
