A machine whose reports reach nobody is given no work

Cause: answers to orders and questions counted as news of a machine, so one that reaches no controller while direct commands reach it (its lease is not renewed) was given tasks by direct order, which died with each lease. Change: a machine takes tasks only while its own reports arrive (2.5 report times). Test: core/leader.test.ts.

--- a/src/core/views.ts
+++ b/src/core/views.ts
@@ -48,6 +48,8 @@
 /** A start that is undone at once was for nothing: others are stopped rather. */
 const JUST_STARTED_MS = 30_000;
 const JUST_STARTED_S = 5;
+/** Reports that a machine may leave out and still be given work; one may have been overtaken by a direct answer. */
+const MOST_REPORTS_MISSED = 2.5;
 
 /** The work that waits, of each job against what the jobs of its class have on average. */
 class MeanWork {
@@ -157,6 +159,8 @@
       if (m.session === 0 || m.sessionOver) continue;
       const reportMs = this.deps.settings.settings.workers.report_s * 1000;
       if (now - m.heardAt > reportMs * 1.6) continue;
+      // Answers to orders and questions renew no lease: what is started on a machine that reaches nobody dies with it.
+      if (now - m.reportedAt > reportMs * MOST_REPORTS_MISSED) continue;
       // Work must not wait on a machine that may be no more than a late copy of a report, or that hears nothing.
       if (m.token !== this.deps.term || m.unheard > 0) continue;
       if (m.errors >= 3 && now - m.lastErrorAt < 60_000) continue;
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -42,6 +42,8 @@
   token = 0;
   /** When a report (or the answer to an order) last arrived; -Infinity before. */
   heardAt = -Infinity;
+  /** When a newer report of its own last arrived: only such reports renew its lease. */
+  reportedAt = -Infinity;
   /** Upper bound for when anyone last answered a report of it: its lease counts from before that. */
   answeredAt: number;
   /** When the cloud takes the machine away. */
--- a/src/workers/reconcile.ts
+++ b/src/workers/reconcile.ts
@@ -60,6 +60,7 @@
   machine.seq = report.seq;
   machine.token = Math.max(machine.token, report.token);
   machine.heardAt = ctx.now;
+  if (!direct) machine.reportedAt = ctx.now;
   machine.takenAt = report.noticeS === null ? null : ctx.now + report.noticeS * 1000;
   // A worker has one report in flight: the answers to all earlier ones were carried out or given up.
   if (!direct) for (const a of machine.attempts.values()) a.inAnswer = false;
--- a/test/core/harness.ts
+++ b/test/core/harness.ts
@@ -33,6 +33,8 @@
   session = 1;
   seq = 0;
   token = TERM;
+  /** Its reports reach nobody, while orders and questions reach it. */
+  mute = false;
 
   constructor(
     readonly name: string,
@@ -97,6 +99,8 @@
         inspect: (machine) =>
           new Promise((answer) => {
             this.inspected.push({ machine: machine.name, answer });
+            const worker = this.workers.get(machine.name);
+            if (worker) answer(worker.report());
           }),
         final: () => undefined,
         isFinal: () => false,
@@ -166,7 +170,7 @@
     for (let step = 0; step < seconds * 5; step++) {
       this.clock.at += 200;
       for (const w of this.workers.values()) {
-        const commands = step % 5 === 0 ? this.leader.onReport(w.report()) : null;
+        const commands = step % 5 === 0 && !w.mute ? this.leader.onReport(w.report()) : null;
         if (commands) w.execute(commands);
       }
       this.leader.afterBatch();
--- a/test/core/leader.test.ts
+++ b/test/core/leader.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
+import { openValue } from '../../src/jobs/records.ts';
 import { jobOf, LeaderHarness, reportOf, task, TERM } from './harness.ts';
 
 const OLD = TERM - 1;
@@ -136,3 +137,22 @@
     );
   }
 });
+
+test('a machine whose reports reach nobody is given no work, though it answers orders', async () => {
+  // Its lease is not renewed: it was given task after task, each of which died with the next lease.
+  const h = new LeaderHarness();
+  const other = jobOf('req-000002', { loaves: 1 });
+  h.load([other], [['n-1', 'a']]);
+  const worker = h.worker('n-1', 'a').put(task(other.id, 0, 2));
+  await h.pass(12);
+  worker.mute = true;
+  await h.pass(8);
+  const job = jobOf('req-000001', { loaves: 2 });
+  h.leader.created(job.id, openValue(job, h.clock.wall()));
+  await h.pass(8);
+  assert.ok(h.inspected.length > 0);
+  assert.deepEqual(worker.running(job.id), []);
+  worker.mute = false;
+  await h.pass(3);
+  assert.equal(worker.running(job.id).length, 2);
+});
