Cancelled tasks whose launch is in doubt end with the lease if the cloud is out

Cause: a launch that was sent straight to a worker and not answered can be carried out for as long as its session lasts. For a cancelled task the machine is returned; while the cloud doesn't answer, nothing bounded the task's time, as the reports of its machine went on being answered. Change: with a lease and 5 s left of cancel_s the reports of such a machine are not answered any more (421), until the task shows, and is stopped, or the session ends. Test: core/leader.test.ts.

--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -261,6 +261,7 @@
       this.answeredEarly = this.now();
       return [];
     }
+    if (machine.lapsing) return null;
     const commands = commandsFor(machine, this.orders.mayStartOn(machine));
     noteAnswer(machine, commands);
     return commands;
--- a/src/core/watch.ts
+++ b/src/core/watch.ts
@@ -25,6 +25,9 @@
  */
 const OVERDUE = 1.3;
 
+/** From the end of renewals, a report that is being answered and the watch's own rhythm included. */
+const LAPSE_MARGIN_MS = 5000;
+
 /** Looks after machines over time: silent and deaf ones, sessions that are surely over, notices, takeovers. */
 export class Watch {
   private lastAt = -Infinity;
@@ -146,6 +149,7 @@
       );
       this.fleet.giveBack([m.name]);
     }
+    this.letLapse(m, a, now);
     if (m.takenAt === null || a.stopGraceS !== null || !a.job) return;
     const spec = a.job.spec;
     if (spec.checkpointS <= 0) return;
@@ -154,6 +158,23 @@
     if (leftMs < needMs) this.stopOrderly(a, 'spot notice');
   }
 
+  /**
+   * A launch in doubt of a cancelled task may be carried out for as long as the session lasts. If the cloud hasn't
+   * taken the machine back in time, only the end of its lease keeps the task within `cancel_s`.
+   */
+  private letLapse(m: Machine, a: Attempt, now: number): void {
+    if (a.job?.ending !== 'cancelled' || a.seen || !a.doubt || a.endWithLease) return;
+    a.unwantedSince ??= now;
+    const { cancel_s, lease_s } = this.deps.settings.settings.workers;
+    const mostMs = cancel_s * 1000 - lease_s * 1000 * (1 + DRIFT) - LAPSE_MARGIN_MS;
+    if (now - a.unwantedSince < mostMs) return;
+    a.endWithLease = true;
+    this.deps.host.log.info(
+      { machine: m.name, job: a.jobId },
+      'launch in doubt of a cancelled task, machine not returned: its lease is left to run out',
+    );
+  }
+
   /** A roster machine is accounted for once it has seen our token: an empty order makes sure of that. */
   private probeUnaccounted(now: number): void {
     if (now - this.startedAt < FIND_US_MS) return;
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -23,6 +23,10 @@
   underWay: number;
   /** The answer to the worker's last report carried a launch, and may still be on its way. */
   inAnswer: boolean;
+  /** When the watch first saw that it may still start though its job is cancelled, or null. */
+  unwantedSince: number | null;
+  /** Only the end of the session keeps it from starting too late. */
+  endWithLease: boolean;
   assignedAt: number;
   runningSince: number | null;
 }
@@ -139,6 +143,12 @@
     return count;
   }
 
+  /** Its reports are not to be answered, so that its session ends. */
+  get lapsing(): boolean {
+    for (const a of this.attempts.values()) if (a.endWithLease && !a.seen && !a.released) return true;
+    return false;
+  }
+
   get hasForeign(): boolean {
     for (const a of this.attempts.values()) if (!a.released && a.job === null) return true;
     return false;
@@ -172,6 +182,8 @@
     doubt: false,
     underWay: 0,
     inAnswer: false,
+    unwantedSince: null,
+    endWithLease: false,
     assignedAt: now,
     runningSince: null,
   };
--- a/test/core/leader.test.ts
+++ b/test/core/leader.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
 import { openValue } from '../../src/jobs/records.ts';
+import { SETTINGS } from '../config/sample.ts';
 import { jobOf, LeaderHarness, reportOf, task, TERM } from './harness.ts';
 
 const OLD = TERM - 1;
@@ -156,3 +157,36 @@
   await h.pass(3);
   assert.equal(worker.running(job.id).length, 2);
 });
+
+test('a cancelled launch in doubt on a machine that the cloud does not take back ends with the lease', async () => {
+  const h = new LeaderHarness();
+  h.cloudUp = false;
+  const job = jobOf('req-000001', { loaves: 1 });
+  h.load([], [['n-1', 'a']]);
+  let seq = 0;
+  const report = () => h.leader.onReport(reportOf('n-1', 'a', { session: 1, seq: (seq += 1), token: TERM }));
+  const passReporting = async (seconds: number): Promise<boolean> => {
+    let renewed = true;
+    for (let s = 0; s < seconds; s++) {
+      renewed = report() !== null;
+      await h.pass(1);
+    }
+    return renewed;
+  };
+  await passReporting(10);
+  h.leader.created(job.id, openValue(job, h.clock.wall()));
+  await h.pass(1);
+  assert.equal(h.orders[0]?.commands[0]?.op, 'start');
+  h.orders[0].answer('silent');
+  assert.ok(h.leader.cancel(job.id, () => undefined));
+  const { cancel_s, lease_s } = SETTINGS.settings.workers;
+  assert.equal(await passReporting(cancel_s / 4), true, 'first the cloud is asked to take it back');
+  assert.equal(await passReporting(cancel_s - lease_s - cancel_s / 4), false);
+  // If it is carried out all the same, the worker is told at once to stop it.
+  const late = h.orders[0].commands[0];
+  const started = task(job.id, 0, late.attempt);
+  const order = { session: 1, seq: (seq += 1), token: TERM };
+  assert.equal(h.leader.onReport(reportOf('n-1', 'a', order, [started]))?.[0]?.op, 'stop');
+  // Of a new session nothing can start any more.
+  assert.deepEqual(h.leader.onReport(reportOf('n-1', 'a', { session: 2, seq: 99, token: TERM })), []);
+});
