A machine that comes up while its return is due takes no work

Cause: a machine that was given up before its worker ever reported was not known when its return was noted. If it came up while the cloud didn't answer, it was given tasks, which ended with the return. Change: a newcomer whose return is due is marked as such from the start. Test: core/leader.test.ts.

--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -326,7 +326,10 @@
     const { machine: name, address, machineType, zone, spot } = report;
     this.log.info({ machine: name, type: machineType, zone }, 'machine up');
     this.cluster.dirty = true;
-    return this.addMachine({ name, address, machineType, zone, spot });
+    const machine = this.addMachine({ name, address, machineType, zone, spot });
+    // It came up after it had been given up: the cloud may take it back at any moment.
+    machine.returning = this.fleet.isReturning(name);
+    return machine;
   }
 
   private enroll(machine: Machine): void {
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -228,6 +228,11 @@
     this.bootingByName.delete(name);
   }
 
+  /** Asked to be returned, which has not been done yet. */
+  isReturning(name: string): boolean {
+    return this.returning.has(name);
+  }
+
   wasReturned(name: string): boolean {
     return this.returned.has(name);
   }
--- a/test/core/harness.ts
+++ b/test/core/harness.ts
@@ -6,6 +6,7 @@
 import { openValue } from '../../src/jobs/records.ts';
 import { KEYS } from '../../src/store/keys.ts';
 import type { LeaderWriter, WriteJob } from '../../src/store/writer.ts';
+import type { ListedMachine } from '../../src/wire/cloud.ts';
 import type { Item } from '../../src/wire/state.ts';
 import { decodeStoredJob, type JobRequest } from '../../src/wire/user.ts';
 import type { Command, Report, ReportedTask } from '../../src/wire/worker.ts';
@@ -79,6 +80,8 @@
   readonly workers = new Map<string, FakeWorker>();
   readonly inspected: { machine: string; answer: (report: Report | null) => void }[] = [];
   readonly returned: string[] = [];
+  /** What the cloud lists. */
+  listed: ListedMachine[] = [];
   sure = true;
   cloudUp = true;
   superseded = 0;
@@ -133,7 +136,7 @@
           if (this.cloudUp) this.returned.push(...names);
           return Promise.resolve(this.cloudUp);
         },
-        list: () => Promise.resolve([]),
+        list: () => Promise.resolve(this.listed),
       },
       writer: {
         backlog: 0,
--- a/test/core/leader.test.ts
+++ b/test/core/leader.test.ts
@@ -190,3 +190,19 @@
   // Of a new session nothing can start any more.
   assert.deepEqual(h.leader.onReport(reportOf('n-1', 'a', { session: 2, seq: 99, token: TERM })), []);
 });
+
+test('a machine that comes up after it was given up takes no work while its return is due', async () => {
+  const h = new LeaderHarness();
+  h.cloudUp = false;
+  const place = { address: 'n-1:9000', machineType: 'big', zone: 'a', spot: false };
+  h.listed = [{ name: 'n-1', ...place, state: 'booting', ageS: 600 }];
+  const job = jobOf('req-000001');
+  h.load([job], []);
+  await h.pass(25);
+  const worker = h.worker('n-1', 'a');
+  await h.pass(5);
+  assert.deepEqual(worker.running(job.id), []);
+  h.cloudUp = true;
+  await h.pass(3);
+  assert.deepEqual(h.returned, ['n-1']);
+});
