--- a/test/leadership/promises.test.ts
+++ b/test/leadership/promises.test.ts
@@ -1,8 +1,12 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
+import { defaultOptions } from '../../src/config/options.ts';
+import { Election } from '../../src/leadership/election.ts';
 import { KEYS } from '../../src/store/keys.ts';
-import { SEED } from '../helpers.ts';
+import { SEED, silent } from '../helpers.ts';
+import { Sim } from '../model/sim.ts';
 import { Controllers, type Controller } from './controllers.ts';
+import { LeaseModel } from './lease-model.ts';
 
 const JOB_ID = 'req-000001';
 const LONG_MS = 60_000;
@@ -134,6 +138,73 @@
   assert.deepEqual(c.broken, []);
 });
 
+test('nobody sends a step that needs the absence of a leader while its key is there', async () => {
+  // The service refuses all one by one, so the lease runs out while promises keep the leader sure. What a follower
+  // that has ended since had sent while the key was there would then be carried out.
+  const { c, leader, others } = await started();
+  others[0].holdNextTxnMs = 9000;
+  c.cancel(others[0], JOB_ID);
+  await c.run(300);
+  c.crash(others[0], 30);
+  await c.run(100);
+  for (const node of c.nodes) node.refusedUntil = c.sim.at + 20_000;
+  assert.equal(await sureShare(c, leader, 20_000), 1);
+  assert.ok(!c.store.hasLeader(), 'the lease has run out');
+  assert.ok(c.store.has(KEYS.open(JOB_ID)), 'the job is still open');
+  await c.run(20_000);
+  assert.deepEqual(c.broken, []);
+});
+
+test('a follower that is back keeps what its earlier process promised', async () => {
+  // The service refuses all one by one, so the lease runs out while promises keep the leader sure; then a follower
+  // is back and reaches it.
+  const { c, leader, others } = await started();
+  leader.refusedUntil = c.sim.at + 20_000;
+  others[1].refusedUntil = c.sim.at + 8000;
+  others[0].refusedUntil = c.sim.at + 4000;
+  assert.equal(await sureShare(c, leader, 3800), 1);
+  c.crash(others[0], 30);
+  await c.run(400);
+  assert.ok(!c.store.hasLeader(), 'the lease has run out');
+  assert.equal(c.sure(), leader);
+  await until(c, 'another leads in the end', () => others.some((n) => n === c.sure()));
+  assert.deepEqual(c.broken, []);
+});
+
+test('promises for a leader that was still sure say nothing once it is not', async () => {
+  // They may come from followers that just started, and whose earlier processes acted in between.
+  const sim = new Sim(SEED);
+  const node = { refusedUntil: 0, lossy: false };
+  const asked: boolean[] = [];
+  const { leadership } = defaultOptions();
+  const election = new Election(
+    'n0',
+    'n0-1',
+    new LeaseModel(sim).for(node),
+    { now: () => sim.at, wall: () => sim.at },
+    () => sim.random(),
+    { ttlMs: leadership.lease_ms, renewMs: leadership.renew_ms },
+    { won: () => undefined, lost: () => undefined },
+    silent,
+    (ms) => sim.pause(ms),
+    async ({ continuous }) => {
+      asked.push(continuous);
+      await sim.pause(3500);
+      return [continuous, continuous];
+    },
+  );
+  election.start();
+  await sim.run(5000);
+  node.refusedUntil = Infinity;
+  await sim.run(9000);
+  assert.equal(asked[0], true);
+  for (let at = 9000; at < 20_000; at += 20) {
+    await sim.run(at);
+    assert.equal(election.surelyLeading(), false);
+  }
+  assert.equal(asked.at(-1), false);
+});
+
 test('a leader goes on through an outage in which a follower is restarted', async () => {
   for (const backMs of [30, 500, 2500]) {
     const { c, leader, others } = await started();
