A leader that hasn't read the state answers no report

Cause: between winning and reading the open jobs a leader answered reports with no commands. Winning right before an outage and kept sure by promises, it did so all through it: the answers renewed the leases of tasks whose cancellation had been confirmed before, and no stop came with them.

Change: until the state is read, reports get 421, and such workers' leases run out as without a leader.

--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -252,7 +252,9 @@
       this.deps.host.superseded();
       return null;
     }
-    const machine = this.loaded ? this.takeReport(report, false) : null;
+    // It doesn't know yet what was cancelled: an answer without commands would renew the lease of such tasks.
+    if (!this.loaded) return null;
+    const machine = this.takeReport(report, false);
     if (!machine) {
       // Answered all the same, so its lease may be renewed before its machine is known here.
       this.answeredEarly = this.now();
