--- a/test/leadership/promises.test.ts
+++ b/test/leadership/promises.test.ts
@@ -258,6 +258,16 @@
   }
 });
 
+test('a leader that ends and is back at once leaves no wait for its lease', async () => {
+  const { c, leader, others } = await started();
+  c.crash(leader, 30);
+  await until(c, 'another leads', () => others.some((n) => n === c.sure()), 1000);
+  // All end, and one is back within a second: it keeps what its earlier process may have promised, then leads.
+  for (const node of c.nodes) c.crash(node, node === leader ? 300 : LONG_MS);
+  await until(c, 'it leads', () => c.sure() === leader, 6000);
+  assert.deepEqual(c.broken, []);
+});
+
 test('a leadership whose win was answered after its lease is not sure, and ends', async () => {
   const { c, leader, others } = await started();
   others[1].election!.yieldFor(20_000, 'rests');
