--- /dev/null
+++ b/test/sim/days.ts
@@ -0,0 +1,174 @@
+import type { Logger } from '../../src/core/log.ts';
+import { check, trail, type Violation } from '../../src/sim/checker.ts';
+import { Emulator, type Day, type Scenario } from '../../src/sim/emulator.ts';
+import type { Fault } from '../../src/sim/faults.ts';
+import type { Tamper } from '../../src/sim/node.ts';
+import type { JobBody, MachineType } from '../../src/sim/protocol.ts';
+import type { PlannedJob } from '../../src/sim/users.ts';
+import { SETTINGS } from '../config/sample.ts';
+import { silent } from '../helpers.ts';
+import { JOB } from '../wire/sample.ts';
+
+/** The machine types of all tests: a large one with accelerators and a small one. */
+export const TYPES: MachineType[] = [
+  {
+    name: 'big',
+    cores: 8,
+    accelerators: 4,
+    memGb: 64,
+    localGb: 50,
+    pullGbPerS: 1,
+    rate: 4,
+    spotPrice: 2,
+    startupS: 8,
+    yards: ['a', 'b'],
+  },
+  {
+    name: 'small',
+    cores: 4,
+    accelerators: 0,
+    memGb: 32,
+    localGb: 50,
+    pullGbPerS: 1,
+    rate: 1,
+    spotPrice: 0.5,
+    startupS: 6,
+    yards: ['a', 'b'],
+  },
+];
+
+/** Kinds of jobs, by number. */
+const SHAPES: Partial<JobBody>[] = [
+  { shape: 'array', apart: false, samePlace: false },
+  { shape: 'ensemble', apart: false, samePlace: true },
+  { shape: 'array', apart: true, samePlace: false },
+  { shape: 'array', accelerators: 1, ovens: ['big'], samePlace: true, apart: false },
+  { shape: 'ensemble', accelerators: 1, ovens: ['big'], samePlace: false, apart: false },
+  { shape: 'array', yard: 'b', borrowed: false, rank: 'urgent', samePlace: false, apart: false },
+];
+
+/** A job by its kind. */
+export interface JobSketch {
+  atS: number;
+  shape: number;
+  tasks: number;
+  runS: number;
+  /** So long after its submission its user cancels it; 0: never. */
+  cancelS: number;
+}
+
+export function job(index: number, sketch: JobSketch): PlannedJob {
+  const body: JobBody = {
+    ...(JOB as JobBody),
+    uid: `req-${String(index).padStart(6, '0')}`,
+    loaves: sketch.tasks,
+    cores: 1,
+    accelerators: 0,
+    memGb: 2,
+    imageGb: 1,
+    ovens: null,
+    yard: null,
+    bakeS: sketch.runS,
+    proofS: index % 2 === 0 ? 5 : 0,
+    coolS: 1,
+    dueS: null,
+    ...SHAPES[sketch.shape % SHAPES.length]!,
+  };
+  const cancelAtS = sketch.cancelS > 0 ? { cancelAtS: sketch.atS + sketch.cancelS } : {};
+  return { atS: sketch.atS, body, ...cancelAtS };
+}
+
+export interface DaySketch {
+  seed: number;
+  endS: number;
+  faults: Fault[];
+  jobs: JobSketch[];
+  capacity?: number;
+  /** Machines of each zone that run from the beginning; two if not given. */
+  machinesPerZone?: number;
+  always?: Partial<Scenario['always']>;
+  teams?: (typeof SETTINGS)['settings']['teams'];
+}
+
+const QUIET: Scenario['always'] = { lateWrites: 0, lostAnswers: 0, refusedRentals: 0, neverUp: 0 };
+/** Troubles of every day. */
+export const AMBIENT: Scenario['always'] = {
+  lateWrites: 0.02,
+  lostAnswers: 0.02,
+  refusedRentals: 0.1,
+  neverUp: 0.02,
+};
+
+export function scenario(sketch: DaySketch): Scenario {
+  const settings = {
+    ...SETTINGS.settings,
+    nodes: 3,
+    ...(sketch.teams ? { teams: sketch.teams } : {}),
+    zones: ['a', 'b', 'c'],
+    // Enough of a core for the shortest lease of leaders.
+    limits: { cores: 0.2, memory_mb: 200, sockets: 1000 },
+  };
+  return {
+    seed: sketch.seed,
+    endS: sketch.endS,
+    faults: sketch.faults,
+    jobs: sketch.jobs.map((j, i) => job(i, j)),
+    settings,
+    types: TYPES,
+    machines: ['a', 'b'].flatMap((zone) =>
+      Array.from({ length: sketch.machinesPerZone ?? 2 }, (_, i) => ({
+        type: i % 2 ? 'small' : 'big',
+        zone,
+        spot: false,
+      })),
+    ),
+    capacity: sketch.capacity ?? 14,
+    always: { ...QUIET, ...sketch.always },
+  };
+}
+
+export interface Played extends Day {
+  violations: Violation[];
+  started: number;
+  leaders: number;
+  /** The last state that each job's user was told. */
+  told: Map<string, string>;
+  /** When the first task of each job was on its machine, in seconds. */
+  firstStartS: Map<string, number>;
+}
+
+/** Plays a day and judges it. */
+export async function play(sketch: DaySketch, tamper?: Tamper, logger: Logger = silent): Promise<Played> {
+  const planned = scenario(sketch);
+  const day = await new Emulator(planned, logger, tamper).run();
+  const { settings } = planned;
+  const violations = check(day.events, {
+    teams: settings.teams,
+    cancelMs: settings.workers.cancel_s * 1000,
+    calmAtMs: day.calmAtMs,
+    endMs: day.endMs,
+  });
+  const told = new Map<string, string>();
+  const firstStartS = new Map<string, number>();
+  const asked = new Map<number, string>();
+  let started = 0;
+  let leaders = 0;
+  for (const event of day.events) {
+    if (event.kind === 'asked') asked.set(event.request, event.job);
+    else if (event.kind === 'answered' && event.stage) told.set(asked.get(event.request)!, event.stage);
+    else if (event.kind === 'leader') leaders += 1;
+    else if (event.kind === 'task_on') {
+      started += 1;
+      if (!firstStartS.has(event.job)) firstStartS.set(event.job, event.at / 1000);
+    }
+  }
+  return { ...day, violations, started, leaders, told, firstStartS };
+}
+
+/** What broke first, with the events that led there; empty if nothing did. */
+export function describe(day: Played, most = 3): string {
+  const first = day.violations[0];
+  if (!first) return '';
+  const shown = day.violations.slice(0, most).map((v) => `${v.rule} at ${v.atMs.toFixed(0)} ms: ${v.text}`);
+  return [...shown, ...trail(day.events, first)].join('\n');
+}
--- /dev/null
+++ b/test/sim/generated.ts
@@ -0,0 +1,75 @@
+import fc from 'fast-check';
+import type { Fault, MachineChoice, NodeChoice } from '../../src/sim/faults.ts';
+import type { DaySketch } from './days.ts';
+
+const node: fc.Arbitrary<NodeChoice> = fc.oneof(
+  { weight: 3, arbitrary: fc.constant('leader' as const) },
+  { weight: 1, arbitrary: fc.constant('follower' as const) },
+  { weight: 1, arbitrary: fc.nat(2) },
+);
+const machines: fc.Arbitrary<MachineChoice> = fc.record({
+  from: fc.nat(12),
+  count: fc.integer({ min: 1, max: 3 }),
+});
+const share = fc.constantFrom(0.2, 0.5, 1);
+const flag = fc.boolean();
+
+const cutFrom = fc.constantFrom<('state' | 'peers' | 'workers' | 'users')[][]>(
+  ['state', 'peers'],
+  ['workers'],
+  ['peers'],
+  ['users'],
+  ['state'],
+);
+
+const kinds = [
+  fc.record({ kind: fc.constant('crash' as const), node }),
+  fc.record({ kind: fc.constant('crash_all' as const) }),
+  fc.record({ kind: fc.constant('stall' as const), node }),
+  fc.record({ kind: fc.constant('state_refuses' as const), node }),
+  fc.record({ kind: fc.constant('state_outage' as const) }),
+  fc.record({ kind: fc.constant('state_slow' as const) }),
+  fc.record({ kind: fc.constant('late_writes' as const), share, atOnce: flag }),
+  fc.record({ kind: fc.constant('late_reports' as const), share, forNext: flag }),
+  fc.record({ kind: fc.constant('late_commands' as const), share }),
+  fc.record({ kind: fc.constant('node_cut' as const), node, from: cutFrom }),
+  fc.record({ kind: fc.constant('zone_cut' as const), zone: fc.constantFrom('a', 'b') }),
+  fc.record({ kind: fc.constant('machine_cut' as const), machines }),
+  fc.record({ kind: fc.constant('machine_hang' as const), machines }),
+  fc.record({ kind: fc.constant('machine_die' as const), machines }),
+  fc.record({ kind: fc.constant('machine_notice' as const), machines }),
+  fc.record({ kind: fc.constant('machine_deaf' as const), machines }),
+  fc.record({ kind: fc.constant('machine_mute' as const), machines }),
+  fc.record({ kind: fc.constant('quick_boots' as const) }),
+  fc.record({ kind: fc.constant('cloud_trouble' as const) }),
+  fc.record({ kind: fc.constant('close_looks' as const) }),
+  fc.record({ kind: fc.constant('cancel_at_end' as const), share }),
+  fc.record({
+    kind: fc.constant('cancel_now' as const),
+    count: fc.integer({ min: 1, max: 4 }),
+    hangS: fc.constantFrom(0, 5, 25),
+  }),
+  fc.record({ kind: fc.constant('odd_requests' as const) }),
+];
+
+const fault: fc.Arbitrary<Fault> = fc
+  .tuple(fc.oneof(...kinds), fc.integer({ min: 12, max: 100 }), fc.integer({ min: 1, max: 45 }))
+  .map(([kind, atS, forS]) => ({ ...kind, atS, forS }));
+
+/** Days that mix all troubles. */
+export const generatedDay = (endS: number): fc.Arbitrary<DaySketch> =>
+  fc.record({
+    seed: fc.integer({ min: 1, max: 2 ** 31 - 1 }),
+    endS: fc.constant(endS),
+    faults: fc.array(fault, { minLength: 1, maxLength: 7 }),
+    jobs: fc.array(
+      fc.record({
+        atS: fc.integer({ min: 1, max: 90 }),
+        shape: fc.nat(5),
+        tasks: fc.integer({ min: 1, max: 5 }),
+        runS: fc.integer({ min: 3, max: 40 }),
+        cancelS: fc.oneof(fc.constant(0), fc.integer({ min: 1, max: 40 })),
+      }),
+      { minLength: 4, maxLength: 12 },
+    ),
+  });
