--- a/test/sim/generated.ts
+++ b/test/sim/generated.ts
@@ -52,6 +52,18 @@
   fc.record({ kind: fc.constant('odd_requests' as const) }),
 ];
 
+/** Troubles of leadership, of the state service and of cancellations, close together. */
+const leadershipKinds = [
+  fc.record({ kind: fc.constant('crash' as const), node }),
+  fc.record({ kind: fc.constant('stall' as const), node: fc.constant('leader' as const) }),
+  fc.record({ kind: fc.constant('state_refuses' as const), node }),
+  fc.record({ kind: fc.constant('state_outage' as const) }),
+  fc.record({ kind: fc.constant('state_slow' as const) }),
+  fc.record({ kind: fc.constant('late_writes' as const), share, atOnce: flag }),
+  fc.record({ kind: fc.constant('node_cut' as const), node, from: cutFrom }),
+  fc.record({ kind: fc.constant('cancel_now' as const), count: fc.nat(4), hangS: fc.constantFrom(0, 15) }),
+];
+
 const fault: fc.Arbitrary<Fault> = fc
   .tuple(fc.oneof(...kinds), fc.integer({ min: 12, max: 100 }), fc.integer({ min: 1, max: 45 }))
   .map(([kind, atS, forS]) => ({ ...kind, atS, forS }));
@@ -73,3 +85,30 @@
       { minLength: 4, maxLength: 12 },
     ),
   });
+
+const leadershipFault: fc.Arbitrary<Fault> = fc
+  .tuple(
+    fc.oneof(...leadershipKinds),
+    fc.integer({ min: 150, max: 500 }),
+    fc.oneof(fc.integer({ min: 1, max: 100 }), fc.integer({ min: 100, max: 500 })),
+  )
+  .map(([kind, tenthsAt, tenthsFor]) => ({ ...kind, atS: tenthsAt / 10, forS: tenthsFor / 10 }));
+
+/** Days in which leadership changes and answers get lost while users call jobs off and ask every controller. */
+export const generatedTakeovers: fc.Arbitrary<DaySketch> = fc.record({
+  seed: fc.integer({ min: 1, max: 2 ** 31 - 1 }),
+  endS: fc.constant(150),
+  faults: fc
+    .array(leadershipFault, { minLength: 2, maxLength: 7 })
+    .map((faults): Fault[] => [{ kind: 'close_looks', atS: 10, forS: 100 }, ...faults]),
+  jobs: fc.array(
+    fc.record({
+      atS: fc.integer({ min: 1, max: 40 }),
+      shape: fc.nat(5),
+      tasks: fc.integer({ min: 1, max: 3 }),
+      runS: fc.integer({ min: 3, max: 60 }),
+      cancelS: fc.oneof(fc.constant(0), fc.integer({ min: 1, max: 40 })),
+    }),
+    { minLength: 6, maxLength: 12 },
+  ),
+});
--- a/test/sim/safety.test.ts
+++ b/test/sim/safety.test.ts
@@ -4,7 +4,7 @@
 import type { Fault } from '../../src/sim/faults.ts';
 import { SEED } from '../helpers.ts';
 import { AMBIENT, describe, play, type DaySketch, type JobSketch } from './days.ts';
-import { generatedDay } from './generated.ts';
+import { generatedDay, generatedTakeovers } from './generated.ts';
 import { without, type Missing } from './guards.ts';
 
 const TIMEOUT = { timeout: 300_000 };
@@ -43,6 +43,19 @@
   assert.ok(served > 150, `${served}`);
 });
 
+test('no rule is broken as leaders change and users ask every controller', TIMEOUT, async () => {
+  let leaders = 0;
+  await fc.assert(
+    fc.asyncProperty(generatedTakeovers, async (sketch) => {
+      const day = await play({ ...sketch, always: AMBIENT });
+      leaders += day.leaders;
+      assert.equal(describe(day), '');
+    }),
+    { seed: SEED + 2, numRuns: 100, endOnFailure: true, includeErrorInReport: true },
+  );
+  assert.ok(leaders > 150, `${leaders}`);
+});
+
 test('the same day played twice has the same events', async () => {
   const [sketch] = fc.sample(generatedDay(120), { seed: SEED, numRuns: 1 });
   const first = await play({ ...sketch!, always: AMBIENT });
