--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -5,16 +5,21 @@
 import { AdaptiveLimit, USER_SLACK_MS, WORKER_SLACK_MS } from '../http/limit.ts';
 import { failure, type Answer, type HttpRequest, type Reply } from '../http/server.ts';
 import { UserDoor, type LocalLeader } from '../jobs/door.ts';
+import { EndWrites } from '../jobs/end-writes.ts';
 import { FinalCache } from '../jobs/finals.ts';
 import type { TeamLimits } from '../jobs/admission.ts';
 import { Election, leaseMs, type Leadership } from '../leadership/election.ts';
-import type { MeshReply, MeshRequest } from '../mesh/frames.ts';
+import { cancellationCanHold, reportGraceMs } from '../leadership/grace.ts';
+import { answerBatch, PollBatcher } from '../jobs/poll-batches.ts';
+import { SharedReads } from '../jobs/shared-reads.ts';
+import type { MeshReply, MeshRequest, PollAnswer } from '../mesh/frames.ts';
 import { askAny } from '../mesh/ask.ts';
 import { Reach } from '../mesh/reach.ts';
-import { RateBudget } from '../store/budget.ts';
-import { StoreClient } from '../store/client.ts';
+import { LEADER_WRITES, RateBudget, submissionsPerSecond } from '../store/budget.ts';
+import { moreUrgent, StoreClient, type StoreResult, type Urgency } from '../store/client.ts';
 import { KEYS } from '../store/keys.ts';
 import { LeaderWriter } from '../store/writer.ts';
+import type { Item } from '../wire/state.ts';
 import { decodeReport, encodeReportAnswer, encodeReportTo } from '../wire/worker.ts';
 import { WorkerClient } from '../workers/client.ts';
 import type { Clock } from './clock.ts';
@@ -58,6 +63,8 @@
   private readonly election: Election;
   private readonly finals: FinalCache;
   private readonly reach: Reach;
+  private readonly reads: SharedReads<StoreResult<Item | null>, Urgency>;
+  private readonly polls: PollBatcher;
   private othersFailedAt = -Infinity;
   private askedOthersAt = -Infinity;
   /** When a worker last tried to report here. */
@@ -116,24 +123,41 @@
       gpusMax: t.gpus_max,
     }));
     this.zones = new Intern(zones);
-    // With the workers' lease it must stay within the time of a cancellation.
-    this.graceMs =
-      Math.min(options.leadership.grace_s, Math.max(0, (workers.cancel_s - workers.lease_s) * 0.6)) * 1000;
+    const times = { cancelS: workers.cancel_s, leaseS: workers.lease_s };
+    this.graceMs = reportGraceMs(options.leadership.grace_s, times);
+    if (!cancellationCanHold(times)) {
+      log.warn(
+        times,
+        'cancel_s leaves less time than lease_s: tasks on machines that are cut off outlive a cancellation',
+      );
+    }
     const { peers } = platform;
+    const after = (ms: number, run: () => void): void => {
+      void this.pause(ms).then(run);
+    };
+    this.reads = new SharedReads({
+      now,
+      after,
+      read: (key, urgency) => this.store.get(key, urgency),
+      moreUrgent,
+    });
+    this.polls = new PollBatcher({ now, after, send: (jobIds) => this.sendPolls(jobIds) });
     this.door = new UserDoor({
       clock: this.clock,
       options,
-      store: this.store,
+      store: {
+        get: (key, urgency) => this.reads.get(key, urgency),
+        txn: (conditions, changes, urgency, timeoutMs) =>
+          this.store.txn(conditions, changes, urgency, timeoutMs),
+      },
       finals: this.finals,
+      submissions: new RateBudget(submissionsPerSecond(state.write_rps, settings.settings.nodes), now),
       teams: this.teams,
       catalog: () => this.catalog,
       leader: () => this.localLeader(),
-      actAlone: () => this.election.actAlone(),
-      askLeader: (request, timeoutMs) => {
-        const leader = this.election.leader();
-        if (leader === null || leader === settings.host_name) return Promise.resolve(null);
-        return peers.ask(leader, request, timeoutMs);
-      },
+      actAlone: (urgency) => this.election.actAlone(urgency),
+      askLeader: (request, timeoutMs) =>
+        request.kind === 'poll' ? this.polls.ask(request.jobId) : this.askLeader(request, timeoutMs),
       askOthers: (request, timeoutMs) => this.askOthers(request, timeoutMs),
     });
     this.reach = new Reach({
@@ -165,23 +189,24 @@
       (ms) => platform.timers.pause(ms),
       // Only the promises of all other controllers together say anything.
       peers.names.length === settings.settings.nodes - 1
-        ? async (term, ms) => {
+        ? async (request) => {
             const asked = peers.names.map((name) =>
-              peers.ask(name, { kind: 'promise', term, ms }, PROMISE_WAIT_MS),
+              peers.ask(name, { kind: 'promise', ...request }, PROMISE_WAIT_MS),
             );
-            return (await Promise.all(asked)).every((reply) => reply?.kind === 'promised');
+            return (await Promise.all(asked)).map((reply) => reply?.kind === 'promised');
           }
         : null,
     );
     const limit = (initial: number, min: number, max: number, slackMs: number): AdaptiveLimit =>
       new AdaptiveLimit(now, { initial, min, max, slackMs, tolerance: 4 });
-    const { users_min, users_max, workers_min, workers_max } = options.http;
+    const { users_min, users_max, polls_min, polls_max, workers_min, workers_max } = options.http;
     // Each worker has one report in progress, over a socket of its own.
     const most = Math.max(workers_min, Math.min(workers_max, sockets));
     this.routes = new Routes({
       options,
       door: this.door,
       userLimit: limit(64, users_min, users_max, USER_SLACK_MS),
+      pollLimit: limit(64, polls_min, polls_max, USER_SLACK_MS),
       workerLimit: limit(most, workers_min, most, WORKER_SLACK_MS),
       post: (command) => {
         this.owner.post(command);
@@ -233,11 +258,15 @@
         reply({ kind: lately ? 'here' : 'unable' });
         return;
       }
+      if (request.kind === 'polls') {
+        reply({ kind: 'answers', answers: this.answerPolls(request.jobIds) });
+        return;
+      }
       if (request.kind !== 'promise') {
         this.door.onMesh(request, reply);
         return;
       }
-      void this.election.promise(request.ms).then((given) => {
+      void this.election.promise(request).then((given) => {
         reply({ kind: given ? 'promised' : 'unable' });
       });
     });
@@ -268,7 +297,7 @@
   private keepCatalog(writer: LeaderWriter): void {
     const value = catalogValue(this.catalog!);
     if (JSON.stringify(value).length > this.settings.settings.state.value_kb * 1000) return;
-    writer.push({ changes: [{ put: KEYS.catalog, value }], done: () => undefined }, false);
+    writer.push({ changes: [{ put: KEYS.catalog, value }], done: () => undefined }, 'background');
   }
 
   // ---- leadership ----
@@ -277,7 +306,8 @@
     const leader = this.leader;
     if (!leader) return null;
     return {
-      status: (id) => leader.status(id),
+      term: leader.term,
+      view: (id) => leader.view(id),
       cancel: (id, settled) => leader.cancel(id, settled),
       created: (id, value) => {
         leader.created(id, value);
@@ -301,6 +331,25 @@
     if (heard && this.isCurrent(held)) this.election.yieldFor(YIELD_MS, 'workers reach others only');
   }
 
+  private askLeader(request: MeshRequest, timeoutMs: number): Promise<MeshReply | null> {
+    const leader = this.election.leader();
+    if (leader === null || leader === this.settings.host_name) return Promise.resolve(null);
+    return this.platform.peers.ask(leader, request, timeoutMs);
+  }
+
+  private async sendPolls(jobIds: string[]): Promise<readonly PollAnswer[] | null> {
+    const reply = await this.askLeader({ kind: 'polls', jobIds }, this.options.users.forward_ms);
+    return reply?.kind === 'answers' ? reply.answers : null;
+  }
+
+  private answerPolls(jobIds: readonly string[]): PollAnswer[] {
+    return answerBatch(jobIds, (jobId, reply) => {
+      this.door.onMesh({ kind: 'poll', jobId }, (answer) => {
+        reply(answer.kind === 'status' || answer.kind === 'unknown' ? answer : { kind: 'unable' });
+      });
+    });
+  }
+
   private async askOthers(request: MeshRequest, timeoutMs: number): Promise<MeshReply | null> {
     if (this.clock.now() - this.othersFailedAt < OTHERS_PAUSE_MS) return null;
     const reply = await askAny(this.platform.peers, request, timeoutMs, (r) => r.kind !== 'unable');
@@ -312,6 +361,11 @@
     return this.election.current() === held;
   }
 
+  /** Ends this leadership; a word that comes late must not end a newer one of the same node. */
+  private endLeadership(held: Leadership, reason: string): void {
+    if (this.isCurrent(held)) this.election.stepDown(reason);
+  }
+
   private async lead(held: Leadership): Promise<void> {
     const pause = (ms: number): Promise<void> => this.pause(ms);
     while (!this.catalog && this.isCurrent(held)) await pause(50);
@@ -322,22 +376,29 @@
     }
     if (!this.isCurrent(held) || fence.kind !== 'ok') return;
     const { state } = this.settings.settings;
+    const endWrites = new EndWrites();
     const writer = new LeaderWriter(
       {
-        txn: (conditions, changes) => this.store.txn(conditions, changes, 'lease'),
+        txn: endWrites.noting((conditions, changes, timeoutMs) =>
+          this.store.txn(conditions, changes, 'lease', timeoutMs),
+        ),
         readFence: async () => {
           const read = await this.store.get(KEYS.fence, 'lease');
           return read.kind === 'ok' ? (read.value?.version ?? 0) : null;
         },
+        readLeader: async () => {
+          const read = await this.store.get(KEYS.leader, 'lease');
+          return read.kind === 'ok' ? (read.value?.version ?? 0) : null;
+        },
         lost: (reason) => {
-          this.election.stepDown(reason);
+          this.endLeadership(held, reason);
         },
         pause,
       },
       held.version,
       fence.value?.version ?? 0,
       { txnOps: state.txn_ops, bytes: 56 * 1024 },
-      new RateBudget(state.write_rps * 0.7, () => this.clock.now()),
+      new RateBudget(state.write_rps * LEADER_WRITES, () => this.clock.now()),
       this.log,
     );
     const leader = new Leader({
@@ -345,18 +406,24 @@
         clock: this.clock,
         log: this.log,
         surelyLeading: () => this.isCurrent(held) && this.election.surelyLeading(),
-        order: (machine, commands) => this.workers.order(machine, held.term, commands),
+        order: (machine, commands) => {
+          const starts = commands.some((c) => c.op === 'start');
+          const mayStart = (): boolean => this.isCurrent(held) && this.election.surelyLeading();
+          return this.workers.order(machine, held.term, commands, starts ? mayStart : () => true);
+        },
         inspect: (machine) => this.workers.inspect(machine),
         final: (id, status) => {
           this.finals.put(id, status);
+          endWrites.forget(id);
         },
+        endMayBeWritten: (id) => endWrites.mayBeWritten(id),
         isFinal: (id) => this.finals.get(id) !== undefined,
         post: (command) => {
           this.owner.post(command);
         },
         pause,
         superseded: () => {
-          this.election.stepDown('a worker has seen a higher token');
+          this.endLeadership(held, 'a worker has seen a higher token');
         },
         lagMs: () => this.lag.ms(),
         hearsNobody: () => {
@@ -377,10 +444,13 @@
     this.keepCatalog(writer);
     let revision = -1;
     while (this.isCurrent(held) && revision < 0) {
-      const open = await this.store.list(KEYS.openPrefix, 'lease');
-      const finished = await this.store.list(KEYS.finishedPrefix, 'lease');
-      const begun = await this.store.list(KEYS.begunPrefix, 'lease');
-      const roster = await this.store.list(KEYS.machinePrefix, 'lease');
+      // All at once: until they are read, the leases of workers with tasks are not renewed.
+      const [open, finished, begun, roster] = await Promise.all([
+        this.store.list(KEYS.openPrefix, 'lease'),
+        this.store.list(KEYS.finishedPrefix, 'lease'),
+        this.store.list(KEYS.begunPrefix, 'lease'),
+        this.store.list(KEYS.machinePrefix, 'lease'),
+      ]);
       if (open.kind === 'ok' && finished.kind === 'ok' && begun.kind === 'ok' && roster.kind === 'ok') {
         revision = open.value.revision;
         this.owner.post(() => {
@@ -420,14 +490,9 @@
       const listed = await this.store.list(KEYS.openPrefix, 'lease');
       if (listed.kind !== 'ok') continue;
       revision = listed.value.revision;
-      const events = listed.value.items.map((i) => ({
-        key: i.key,
-        deleted: false,
-        value: i.value,
-        version: i.version,
-      }));
+      const { items } = listed.value;
       this.owner.post(() => {
-        if (this.leader === leader) leader.onStoreEvents(events);
+        if (this.leader === leader) leader.onStoreListed(items);
       });
     }
   }
--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -9,24 +9,31 @@
 import { Views } from './views.ts';
 import { Watch } from './watch.ts';
 import { Fleet } from '../fleet/fleet.ts';
+import { Archive } from '../jobs/archive.ts';
+import { BegunNotes } from '../jobs/begun.ts';
 import { Job } from '../jobs/job.ts';
-import { readBegun, readChunk, readOpen } from '../jobs/records.ts';
+import type { LeaderView } from '../jobs/knowledge.ts';
+import { readChunk, readFinal, readOpen } from '../jobs/records.ts';
 import { ArrivalForecast } from '../scheduling/forecast.ts';
 import { KEYS } from '../store/keys.ts';
 import type { Item, WatchEvent } from '../wire/state.ts';
 import type { JobStatus } from '../wire/user.ts';
 import type { Command, Report } from '../wire/worker.ts';
 import { Machine, type MachineIdentity } from '../workers/machine.ts';
-import { applyReport, commandsFor, isNewer, loseAll } from '../workers/reconcile.ts';
+import { applyReport, commandsFor, isNewer, loseAll, noteAnswer } from '../workers/reconcile.ts';
 import { Roster } from '../workers/roster.ts';
 
 const QUICK_IMAGES = 64;
-const ROSTER_PAGE_BYTES = 4000;
+const PAGE_BYTES = 4000;
+/** Final records that a new leader may have to read past: a few pages of a listing. */
+const FINALS_KEPT = 2000;
 
 /** Everything one leadership knows. It starts empty and is thrown away whole when the leadership ends. */
 export class Leader {
   private readonly cluster: Cluster;
   private readonly gangs: Gangs;
+  private readonly begun: BegunNotes;
+  private readonly archive: Archive;
   private readonly endings: Endings;
   private readonly attempts: Attempts;
   private readonly orders: Orders;
@@ -57,6 +64,7 @@
       zones: deps.zones,
       options,
       term: deps.term,
+      surelyLeading: () => host.surelyLeading(),
       post: (command) => {
         host.post(command);
       },
@@ -73,11 +81,30 @@
       deps,
     );
     this.gangs = new Gangs(this.cluster, this.log);
-    this.endings = new Endings(this.cluster, deps);
-    this.attempts = new Attempts(this.cluster, this.gangs, this.endings, deps);
+    const pageBytes = Math.min(PAGE_BYTES, settings.settings.state.value_kb * 900);
+    const post = (command: () => void): void => {
+      host.post(command);
+    };
+    this.begun = new BegunNotes({
+      pageBytes,
+      push: (job) => {
+        writer.push(job, 'starts');
+      },
+      post,
+    });
+    this.archive = new Archive({
+      keep: FINALS_KEPT,
+      txnOps: settings.settings.state.txn_ops,
+      idle: () => writer.idle,
+      push: (job) => {
+        writer.push(job, 'background');
+      },
+      post,
+    });
+    this.endings = new Endings(this.cluster, this.begun, this.archive, deps);
+    this.attempts = new Attempts(this.cluster, this.gangs, this.endings, this.begun, deps);
     this.orders = new Orders(this.cluster, deps, (report) => {
-      // Only of machines that are still there: an answer can be older than the machine's end.
-      if (!this.stopped && this.cluster.machines.has(report.machine)) this.takeReport(report, true);
+      this.onDirectReport(report);
     });
     this.rounds = new Rounds(this.cluster, this.fleet, views, this.attempts, deps);
     this.watch = new Watch(
@@ -92,13 +119,11 @@
       },
     );
     this.roster = new Roster({
-      pageBytes: Math.min(ROSTER_PAGE_BYTES, settings.settings.state.value_kb * 900),
+      pageBytes,
       push: (job, urgent) => {
-        writer.push(job, urgent);
-      },
-      post: (command) => {
-        host.post(command);
+        writer.push(job, urgent ? 'starts' : 'background');
       },
+      post,
     });
   }
 
@@ -109,6 +134,14 @@
   stop(): void {
     this.stopped = true;
     this.deps.writer.stop();
+    this.releaseWaiting();
+  }
+
+  /** Whoever waits for the end of a job is told that this leadership won't see it, so that nobody waits in vain. */
+  private releaseWaiting(): void {
+    for (const job of this.cluster.jobs.values()) {
+      for (const settled of job.whenFinal.splice(0)) settled();
+    }
   }
 
   private now(): number {
@@ -127,19 +160,10 @@
       this.log.error({ key }, 'a record is malformed');
     };
     const stale = (item: Item): void => {
-      this.deps.writer.push({ changes: [{ delete: item.key }], done: () => undefined }, false);
+      this.deps.writer.push({ changes: [{ delete: item.key }], done: () => undefined }, 'background');
     };
-    for (const item of found.open) {
-      const record = readOpen(item.value);
-      if (record) this.addJob(record.job.id, item.value);
-      else malformed(item.key);
-    }
-    for (const item of found.begun) {
-      const job = this.cluster.jobs.get(item.key.slice(KEYS.begunPrefix.length));
-      // What can't be read is taken for all of the job.
-      if (job) job.inherit(readBegun(item.value) ?? job.spec.tasks, this.now());
-      else stale(item);
-    }
+    for (const item of found.open) this.loadRecord(item, malformed);
+    this.loadBegun(found.begun, malformed);
     for (const item of found.finished) {
       const [, id, chunk] = item.key.split('/');
       const job = this.cluster.jobs.get(id ?? '');
@@ -160,6 +184,26 @@
     for (const job of this.cluster.jobs.values()) this.endings.finishIfDone(job);
   }
 
+  private loadRecord(item: Item, malformed: (key: string) => void): void {
+    if (readFinal(item.value)) {
+      this.archive.add(item.key.slice(KEYS.openPrefix.length), item.value);
+      return;
+    }
+    const record = readOpen(item.value);
+    if (record) this.addJob(record.job.id, item.value);
+    else malformed(item.key);
+  }
+
+  private loadBegun(pages: readonly Item[], malformed: (key: string) => void): void {
+    const { jobs } = this.cluster;
+    const { begun, unreadable } = this.begun.load(pages, (id) => jobs.has(id), malformed);
+    for (const job of jobs.values()) {
+      // What can't be read may have noted all tasks of any job.
+      const inherited = unreadable ? job.spec.tasks : begun.get(job.id);
+      if (inherited !== undefined) job.inherit(inherited, this.now());
+    }
+  }
+
   private mayPlace(): boolean {
     return (
       this.loaded &&
@@ -210,28 +254,47 @@
   onStoreEvents(events: readonly WatchEvent[]): void {
     for (const e of events) {
       const id = e.key.slice(KEYS.openPrefix.length);
-      if (e.deleted) this.cluster.over.delete(id);
+      // Events come in order: after that of its end no older one of the job follows.
+      if (e.deleted || readFinal(e.value)) this.cluster.over.delete(id);
       else if (!this.cluster.over.has(id)) this.addJob(id, e.value);
     }
   }
 
+  /** All records, read anew because the watch has missed events; it goes on after this reading. */
+  onStoreListed(items: readonly Item[]): void {
+    const listed = new Set(items.map((item) => item.key.slice(KEYS.openPrefix.length)));
+    // Ended, written and moved to the archive meanwhile.
+    for (const id of this.cluster.over) if (!listed.has(id)) this.cluster.over.delete(id);
+    this.onStoreEvents(items.map((item) => ({ ...item, deleted: false })));
+  }
+
   /** Found open in the store by this node; the watch would bring it a little later. */
   created(id: string, value: unknown): void {
     if (this.loaded && !this.cluster.over.has(id) && !this.deps.host.isFinal(id)) this.addJob(id, value);
   }
 
-  /** The state of a job as of now, or null if this leader doesn't know it. */
-  status(id: string): JobStatus | null {
-    if (!this.loaded || !this.deps.host.surelyLeading()) return null;
-    return this.cluster.jobs.get(id)?.status() ?? null;
+  /** What this leader can say of a job as of now. */
+  view(id: string): LeaderView {
+    if (!this.loaded || !this.deps.host.surelyLeading()) return { kind: 'unknown' };
+    const job = this.cluster.jobs.get(id);
+    if (!job) return { kind: 'unknown' };
+    if (job.endUnconfirmed && this.deps.host.endMayBeWritten(id)) return { kind: 'uncertain' };
+    return { kind: 'status', status: job.status() };
   }
 
-  /** Cancels a job. The callback comes once the outcome is durable; false: the job is not known here. */
-  cancel(id: string, settled: (status: JobStatus) => void): boolean {
+  /**
+   * Cancels a job. The callback comes once the outcome is durable, or with null when this leadership ends before
+   * that; false: the job is not known here.
+   */
+  cancel(id: string, settled: (status: JobStatus | null) => void): boolean {
     const job = this.cluster.jobs.get(id);
     if (!this.loaded || !job || !this.deps.host.surelyLeading()) return false;
-    job.whenFinal.push(() => {
+    if (job.final !== null) {
       settled(job.status());
+      return true;
+    }
+    job.whenFinal.push(() => {
+      settled(job.final === null ? null : job.status());
     });
     if (job.ending === null) this.endings.finish(job, 'cancelled');
     return true;
@@ -252,20 +315,37 @@
       this.deps.host.superseded();
       return null;
     }
-    const machine = this.loaded ? this.takeReport(report, false) : null;
+    // Until the state is read no cancellation is known: an answer would renew the lease of tasks that must be gone
+    // within `cancel_s`, without stopping them. Their worker tries again a second later.
+    if (!this.loaded) return null;
+    const machine = this.takeReport(report, false);
     if (!machine) {
       // Answered all the same, so its lease may be renewed before its machine is known here.
       this.answeredEarly = this.now();
       return [];
     }
-    return commandsFor(machine, this.orders.mayStartOn(machine));
+    if (machine.lapsing) return null;
+    const commands = commandsFor(machine, this.orders.mayStartOn(machine));
+    noteAnswer(machine, commands);
+    return commands;
+  }
+
+  /** What a worker answered to orders or to a question. Answers still come after the end of this leadership. */
+  private onDirectReport(report: Report): void {
+    if (this.stopped) return;
+    if (report.token > this.term) {
+      this.deps.host.superseded();
+      return;
+    }
+    // Only of machines that are still there: an answer can be older than the machine's end.
+    if (this.cluster.machines.has(report.machine)) this.takeReport(report, true);
   }
 
   private takeReport(report: Report, direct: boolean): Machine | null {
     const now = this.now();
     const machine = this.cluster.machines.get(report.machine) ?? this.newcomer(report);
     if (!machine) return null;
-    if (!isNewer(machine, report)) {
+    if (!isNewer(machine, report) || this.writtenOff(machine, report)) {
       // Sent before the newest message that was heard, so the lease that its answer renews counts from before that.
       if (!direct) machine.answeredAt = Math.max(machine.answeredAt, machine.heardAt);
       return machine;
@@ -290,6 +370,15 @@
     return machine;
   }
 
+  /**
+   * Once nothing that an earlier leader started can be on a machine, a report without our token is a copy from
+   * before, or of a worker that has lost everything: it shows no task that still counts. Of a machine that was given
+   * up unheard, such a copy once brought back tasks that tied their job to the wrong zone.
+   */
+  private writtenOff(machine: Machine, report: Report): boolean {
+    return machine.accounted && report.token !== this.term;
+  }
+
   /**
    * A machine nobody here knows. With a token from before, it is a new worker that has seen no answer of ours
    * yet, and will report again once it has; or a copy of an old report, of a machine that is gone: what holds
@@ -300,7 +389,10 @@
     const { machine: name, address, machineType, zone, spot } = report;
     this.log.info({ machine: name, type: machineType, zone }, 'machine up');
     this.cluster.dirty = true;
-    return this.addMachine({ name, address, machineType, zone, spot });
+    const machine = this.addMachine({ name, address, machineType, zone, spot });
+    // It came up after it had been given up: the cloud may take it back at any moment.
+    machine.returning = this.fleet.isReturning(name);
+    return machine;
   }
 
   private enroll(machine: Machine): void {
@@ -346,5 +438,6 @@
     }
     this.roster.flush(this.deps.writer.backlog === 0);
     this.orders.pushDue();
+    this.archive.tick();
   }
 }
--- a/src/core/watch.ts
+++ b/src/core/watch.ts
@@ -17,6 +17,8 @@
 const FEWEST = 3;
 const NEARLY_ALL = 0.75;
 const WATCH_MS = 400;
+/** Between two looks at the machines this long passes only on a controller that stood still. */
+const STOOD_STILL_MS = 5000;
 /** Workers find a new leader by themselves within about a report; only then are the others asked. */
 const FIND_US_MS = 4000;
 /**
@@ -25,9 +27,14 @@
  */
 const OVERDUE = 1.3;
 
+/** From the end of renewals, a report that is being answered and the watch's own rhythm included. */
+const LAPSE_MARGIN_MS = 5000;
+
 /** Looks after machines over time: silent and deaf ones, sessions that are surely over, notices, takeovers. */
 export class Watch {
   private lastAt = -Infinity;
+  /** Silence before this says nothing: this controller was not there to hear, or not the leader yet. */
+  private listeningSince: number;
 
   constructor(
     private readonly cluster: Cluster,
@@ -37,7 +44,9 @@
     private readonly deps: LeaderDeps,
     private readonly startedAt: number,
     private readonly stopOrderly: (a: Attempt, reason: string) => void,
-  ) {}
+  ) {
+    this.listeningSince = startedAt;
+  }
 
   private get reportMs(): number {
     return this.deps.settings.settings.workers.report_s * 1000;
@@ -51,6 +60,7 @@
   tick(): void {
     const now = this.deps.host.clock.now();
     if (now - this.lastAt < WATCH_MS) return;
+    if (now - this.lastAt > STOOD_STILL_MS && this.lastAt !== -Infinity) this.resume(now);
     this.lastAt = now;
     const silentMs = this.reportMs * this.deps.options.workers.silent_reports;
     const silentByZone = new Map<number, number>();
@@ -62,7 +72,7 @@
       totalByZone.set(m.zone, (totalByZone.get(m.zone) ?? 0) + 1);
       const quietMs = this.quietMs(m, now);
       // Those that a new leader has never heard may still be with the last one: they get longer, and are asked.
-      const heardOnce = m.contactAt > this.startedAt;
+      const heardOnce = m.contactAt > this.listeningSince;
       const missing = heardOnce ? quietMs > this.reportMs * MISSED : quietMs > silentMs && m.probesFailed > 0;
       if (heardOnce) known += 1;
       if (heardOnce && missing) lost += 1;
@@ -86,6 +96,16 @@
     this.fleet.syncList(this.cluster.machines);
   }
 
+  /**
+   * After standing still all machines look silent at once, and all that were booting look as if they never came up;
+   * a leader that kept its lease through an outage, or did not know yet that it was over, returned them.
+   */
+  private resume(now: number): void {
+    this.listeningSince = now;
+    this.fleet.resumed();
+    this.deps.host.log.info({ stoodStillMs: Math.round(now - this.lastAt) }, 'this controller stood still');
+  }
+
   /**
    * Many silent machines of one zone point to a cut. Once they are returned nobody is left there to tell, so the
    * zone stays dark until one of its machines is heard: the fleet keeps one on trial. Machines once went on being
@@ -105,7 +125,7 @@
 
   /** How long there has been no sign that the machine both speaks and hears. */
   private quietMs(m: Machine, now: number): number {
-    return now - Math.max(m.contactAt, this.startedAt);
+    return now - Math.max(m.contactAt, this.listeningSince);
   }
 
   /** `patient`: its silence may have another cause than its end. */
@@ -122,6 +142,8 @@
     const quietMs = this.quietMs(m, now);
     if (quietMs > this.reportMs * 1.5 || m.unheard > 0) this.orders.probe(m);
     else m.probesFailed = 0;
+    // Another leader may hear it: its silence here says nothing.
+    if (!this.deps.host.surelyLeading()) return;
     // Many silent machines of one zone point to a cut, which may end; single ones have died, or hear nothing.
     if (quietMs > silentMs && m.probesFailed > 0 && !m.returning && (!patient || over)) {
       const deaf = now - m.heardAt < silentMs;
@@ -144,6 +166,7 @@
       );
       this.fleet.giveBack([m.name]);
     }
+    this.letLapse(m, a, now);
     if (m.takenAt === null || a.stopGraceS !== null || !a.job) return;
     const spec = a.job.spec;
     if (spec.checkpointS <= 0) return;
@@ -152,6 +175,23 @@
     if (leftMs < needMs) this.stopOrderly(a, 'spot notice');
   }
 
+  /**
+   * A launch in doubt of a cancelled task may be carried out for as long as the session lasts. If the cloud hasn't
+   * taken the machine back in time, only the end of its lease keeps the task within `cancel_s`.
+   */
+  private letLapse(m: Machine, a: Attempt, now: number): void {
+    if (a.job?.ending !== 'cancelled' || a.seen || !a.doubt || a.endWithLease) return;
+    a.unwantedSince ??= now;
+    const { cancel_s, lease_s } = this.deps.settings.settings.workers;
+    const mostMs = cancel_s * 1000 - lease_s * 1000 * (1 + DRIFT) - LAPSE_MARGIN_MS;
+    if (now - a.unwantedSince < mostMs) return;
+    a.endWithLease = true;
+    this.deps.host.log.info(
+      { machine: m.name, job: a.jobId },
+      'launch in doubt of a cancelled task, machine not returned: its lease is left to run out',
+    );
+  }
+
   /** A roster machine is accounted for once it has seen our token: an empty order makes sure of that. */
   private probeUnaccounted(now: number): void {
     if (now - this.startedAt < FIND_US_MS) return;
--- a/src/http/client.ts
+++ b/src/http/client.ts
@@ -7,7 +7,14 @@
 
 /** Sends requests to one host. Requests are never repeated here. */
 export interface HttpSender {
-  send(method: string, path: string, body: string | null, timeoutMs: number): Promise<HttpResult>;
+  /** `wanted`: whether the request may still be sent, asked right before it is written. */
+  send(
+    method: string,
+    path: string,
+    body: string | null,
+    timeoutMs: number,
+    wanted?: () => boolean,
+  ): Promise<HttpResult>;
   close(): void;
 }
 
@@ -44,7 +51,17 @@
     this.agent = typeof via === 'number' ? keepAliveAgent(via) : via;
   }
 
-  send(method: string, path: string, body: string | null, timeoutMs: number): Promise<HttpResult> {
+  /**
+   * `wanted` is asked once the connection stands, right before the request is written: a process may stand still
+   * while it connects, and what it meant to send then may no longer be its to send.
+   */
+  send(
+    method: string,
+    path: string,
+    body: string | null,
+    timeoutMs: number,
+    wanted?: () => boolean,
+  ): Promise<HttpResult> {
     return new Promise((resolve) => {
       let settled = false;
       const finish = (result: HttpResult): void => {
@@ -89,8 +106,22 @@
       req.on('error', (error: NodeJS.ErrnoException) => {
         finish({ kind: 'silent', sent: error.code !== 'ECONNREFUSED', reason: error.code ?? error.message });
       });
-      if (body !== null) req.write(body);
-      req.end();
+      const write = (): void => {
+        if (settled) return;
+        if (wanted?.() === false) {
+          finish({ kind: 'silent', sent: false, reason: 'no longer wanted' });
+          req.destroy();
+          return;
+        }
+        if (body !== null) req.write(body);
+        req.end();
+      };
+      if (!wanted) write();
+      else
+        req.once('socket', (socket) => {
+          if (socket.connecting) socket.once('connect', write);
+          else write();
+        });
     });
   }
 
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -5,21 +5,35 @@
 import { RateBudget } from './budget.ts';
 
 /** What came of a call. `unknown`: it may have been carried out, or may be later. `refused`: it was not. */
-export type StoreResult<T> = { kind: 'ok'; value: T } | { kind: 'refused' } | { kind: 'unknown' };
+/** `overLimit`: for its rate, by the service or by this node's own share. */
+type Refused = { kind: 'refused'; overLimit?: boolean };
+export type StoreResult<T> = { kind: 'ok'; value: T } | Refused | { kind: 'unknown' };
 export type TxnResult =
   | { kind: 'ok'; revision: number }
   | { kind: 'conflict'; failed: string[] }
   | { kind: 'no_lease' }
-  | { kind: 'refused' }
+  | Refused
   | { kind: 'unknown' };
 
 /** How urgent a call is: each less urgent kind leaves permits in the budget for the ones before it. */
-export type Urgency = 'lease' | 'user' | 'background';
-const RESERVE: Record<Urgency, number> = { lease: 0, user: 0.1, background: 0.35 };
+export type Urgency = 'lease' | 'user' | 'background' | 'poll';
+/** Shares of the budget that each kind leaves to the others. */
+const RESERVE: Record<Urgency, number> = { lease: 0, user: 0.1, background: 0.35, poll: 0.4 };
+
+export function moreUrgent(first: Urgency, second: Urgency): boolean {
+  return RESERVE[first] < RESERVE[second];
+}
 
 const READ_TIMEOUT_MS = 1500;
 const WRITE_TIMEOUT_MS = 2000;
 const PAGE = 500;
+/**
+ * Part of the service's limit that the polls of all nodes together may use. Users ask at any rate, on all nodes at
+ * the same time: shares that add up to more than the limit once made the service refuse submissions for their sake.
+ */
+const POLL_SHARE = 0.6;
+/** After the service itself refused a call for its rate, polls leave it to others for so long. */
+const POLL_REST_MS = 1000;
 /** All nodes' shares together, in times of the limit: they are seldom busy at the same time. */
 const OVERCOMMITTED = 1.5;
 
@@ -30,6 +44,8 @@
   /** Of its own, so that renewals of leases wait for nothing else. */
   private readonly leaseHttp: HttpSender;
   private readonly budget: RateBudget;
+  private readonly pollBudget: RateBudget;
+  private pollsRestUntil = -Infinity;
   private readonly rps: number;
   /** When the service last served this node: an answer that is neither a refusal nor an outage's. */
   servedAt: number;
@@ -48,6 +64,7 @@
     // The limit is shared by all nodes and a burst at one must not starve the leader's lease.
     this.rps = limits.rps * Math.min(0.5, OVERCOMMITTED / limits.nodes);
     this.budget = new RateBudget(this.rps, now);
+    this.pollBudget = new RateBudget(Math.max(1, (limits.rps * POLL_SHARE) / limits.nodes), now);
   }
 
   private async call(
@@ -58,17 +75,24 @@
     urgency: Urgency,
     http = this.http,
   ): Promise<HttpResult> {
-    if (!this.budget.take(1, this.rps * RESERVE[urgency])) {
+    if (!this.mayCall(urgency)) {
       return { kind: 'answer', status: 429, body: '', retryAfterS: null };
     }
     const result = await http.send(method, path, body, timeoutMs);
-    if (result.kind === 'answer' && result.status < 500 && result.status !== 429) this.servedAt = this.now();
+    if (result.kind !== 'answer') return result;
+    if (result.status === 429) this.pollsRestUntil = this.now() + POLL_REST_MS;
+    else if (result.status < 500) this.servedAt = this.now();
     return result;
   }
 
+  private mayCall(urgency: Urgency): boolean {
+    if (urgency === 'poll' && (this.now() < this.pollsRestUntil || !this.pollBudget.take())) return false;
+    return this.budget.take(1, this.rps * RESERVE[urgency]);
+  }
+
   private settle<T>(result: HttpResult, decode: (text: string) => Decoded<T>): StoreResult<T> {
     if (result.kind === 'silent') return result.sent ? { kind: 'unknown' } : { kind: 'refused' };
-    if (result.status !== 200) return { kind: 'refused' };
+    if (result.status !== 200) return { kind: 'refused', overLimit: result.status === 429 };
     const decoded = decode(result.body);
     if (decoded.ok) return { kind: 'ok', value: decoded.value };
     this.log.error({ reason: decoded.reason }, 'store: malformed answer');
@@ -110,9 +134,10 @@
     conditions: readonly wire.Condition[],
     changes: readonly wire.Change[],
     urgency: Urgency,
+    timeoutMs = WRITE_TIMEOUT_MS,
   ): Promise<TxnResult> {
     const body = wire.encodeTxn(conditions, changes);
-    const result = await this.call('POST', wire.STATE_PATHS.txn, body, WRITE_TIMEOUT_MS, urgency);
+    const result = await this.call('POST', wire.STATE_PATHS.txn, body, timeoutMs, urgency);
     if (result.kind === 'answer' && result.status === 409) {
       const failed = wire.decodeConflict(result.body);
       return failed.ok ? { kind: 'conflict', failed: failed.value } : { kind: 'unknown' };
--- a/src/workers/client.ts
+++ b/src/workers/client.ts
@@ -12,10 +12,16 @@
   /** `network`: clients of workers that share a number of connections. */
   constructor(private readonly network: { connect(address: string): HttpSender; close(): void }) {}
 
-  async order(machine: Machine, token: number, commands: readonly Command[]): Promise<OrderResult> {
+  /** `wanted`: whether the orders may still be sent, asked right before they are. */
+  async order(
+    machine: Machine,
+    token: number,
+    commands: readonly Command[],
+    wanted: () => boolean,
+  ): Promise<OrderResult> {
     const body = encodeOrders(token, machine.session, commands);
     const client = this.network.connect(machine.id.address);
-    const result = await client.send('POST', '/orders', body, ORDER_TIMEOUT_MS);
+    const result = await client.send('POST', '/orders', body, ORDER_TIMEOUT_MS, wanted);
     if (result.kind === 'silent') return result.sent ? 'silent' : 'not_sent';
     if (result.status !== 200 && result.status !== 409) return 'not_sent';
     const report = decodeReport(result.body);
--- a/test/jobs/door.test.ts
+++ b/test/jobs/door.test.ts
@@ -3,31 +3,67 @@
 import { defaultOptions } from '../../src/config/options.ts';
 import { Catalog } from '../../src/fleet/catalog.ts';
 import type { Answer } from '../../src/http/server.ts';
-import { UserDoor } from '../../src/jobs/door.ts';
+import { UserDoor, type DoorDeps, type LocalLeader } from '../../src/jobs/door.ts';
 import { FinalCache } from '../../src/jobs/finals.ts';
+import { MAX_FINDING_AGE_MS } from '../../src/jobs/knowledge.ts';
 import type { MeshReply, MeshRequest } from '../../src/mesh/frames.ts';
+import { RateBudget } from '../../src/store/budget.ts';
 import type { StoreClient } from '../../src/store/client.ts';
+import { KEYS } from '../../src/store/keys.ts';
+import type { Item } from '../../src/wire/state.ts';
 import { BIG, FakeClock } from '../helpers.ts';
+import { MemoryStore } from '../store/memory.ts';
 import { JOB } from '../wire/sample.ts';
+import { leaderlessStep } from './leaderless.ts';
 
-/** A controller that the state service refuses alone and that knows of no leader. */
-function refused(others: (request: MeshRequest) => MeshReply | null): {
-  door: UserDoor;
-  asked: MeshRequest[];
-} {
-  const asked: MeshRequest[] = [];
-  const refuse = () => Promise.resolve({ kind: 'refused' as const });
-  const store = { get: refuse, txn: refuse } as unknown as StoreClient;
-  const door = new UserDoor({
+const OPEN = { at: 0, job: JOB };
+const ID = 'req-000001';
+
+/** A controller without a leader over a store whose calls take a given time, on the controller's own clock. */
+function slow(records: Record<string, unknown>, ms: number): UserDoor {
+  const clock = new FakeClock();
+  const found = (key: string): Item | null =>
+    key in records ? { key, value: records[key], version: 1, lease: null } : null;
+  const store = {
+    get: (key: string) => {
+      clock.at += ms;
+      return Promise.resolve({ kind: 'ok', value: found(key) });
+    },
+    txn: () => {
+      clock.at += ms;
+      const known = KEYS.open(JOB.uid) in records;
+      return Promise.resolve(known ? { kind: 'conflict', failed: [] } : { kind: 'ok', revision: 2 });
+    },
+  } as unknown as StoreClient;
+  return doorOver(store, { clock });
+}
+
+function doorOver(store: StoreClient, over: Partial<DoorDeps> = {}): UserDoor {
+  return new UserDoor({
     clock: new FakeClock(),
     options: defaultOptions(),
     store,
     finals: new FinalCache(10),
+    submissions: new RateBudget(10, () => 0),
     teams: [{ name: 'vision', cpus: 0, gpus: 8, cpusMax: 0, gpusMax: 1000 }],
     catalog: () => new Catalog([{ ...BIG, name: 'g8', cpus: 96, gpus: 8, memory: 768 }]),
     leader: () => null,
-    actAlone: () => () => undefined,
+    actAlone: () => Promise.resolve(null),
     askLeader: () => Promise.resolve(null),
+    askOthers: () => Promise.resolve(null),
+    ...over,
+  });
+}
+
+/** A controller that the state service refuses alone and that knows of no leader. */
+function refused(others: (request: MeshRequest) => MeshReply | null): {
+  door: UserDoor;
+  asked: MeshRequest[];
+} {
+  const asked: MeshRequest[] = [];
+  const refuse = () => Promise.resolve({ kind: 'refused' as const });
+  const store = { get: refuse, txn: refuse } as unknown as StoreClient;
+  const door = doorOver(store, {
     askOthers: (request) => {
       asked.push(request);
       return Promise.resolve(others(request));
@@ -41,7 +77,11 @@
 test('a node that the state service refuses alone answers with the help of the others', async () => {
   // Its users' polls were once refused for as long as it was, while those of other nodes were answered.
   const running = { kind: 'status', created: false, stage: 'running', done: 1, running: 2 } as const;
-  const helped = refused((r) => (r.kind === 'submit' ? { ...running, created: true } : running));
+  const cancelled = { ...running, stage: 'cancelled', running: 0 } as const;
+  const helped = refused((r) => {
+    if (r.kind === 'submit') return { ...running, created: true };
+    return r.kind === 'cancel' ? cancelled : running;
+  });
   const poll = await answer((reply) => {
     helped.door.poll('req-000001', reply);
   });
@@ -55,6 +95,7 @@
     helped.door.cancel('req-000001', reply);
   });
   assert.equal(cancel.status, 200);
+  assert.equal((JSON.parse(cancel.body) as { stage: string }).stage, 'aborted');
   assert.deepEqual(
     helped.asked.map((r) => r.kind),
     ['look', 'submit', 'cancel'],
@@ -73,3 +114,160 @@
   assert.equal(busy.status, 503);
   assert.ok((busy.retryAfterS ?? 0) >= 1);
 });
+
+test('an answer from a read that took long is refused unless it is final', async () => {
+  // Meanwhile another controller may have told the user something newer.
+  const poll = (door: UserDoor): Promise<Answer> =>
+    answer((reply) => {
+      door.poll(ID, reply);
+    });
+  assert.ok(MAX_FINDING_AGE_MS < 2000, 'users wait for 2 s');
+  const late = MAX_FINDING_AGE_MS + 1;
+  const open = { [KEYS.open(ID)]: OPEN };
+  assert.equal((await poll(slow(open, MAX_FINDING_AGE_MS))).status, 200);
+  assert.equal((await poll(slow(open, late))).status, 503);
+  assert.equal((await poll(slow({}, late / 2))).status, 503, 'two reads that found nothing');
+  assert.equal((await poll(slow({ [KEYS.final(ID)]: { s: 'done', n: 16 } }, late))).status, 200);
+});
+
+test('a submission that was carried out but answered late is looked up before it is told', async () => {
+  const submit = (door: UserDoor): Promise<Answer> =>
+    answer((reply) => {
+      door.submit(JSON.stringify(JOB), reply);
+    });
+  assert.equal((await submit(slow({}, 10))).status, 201);
+  const late = slow({ [KEYS.final(JOB.uid)]: { s: 'cancelled', n: 0 } }, MAX_FINDING_AGE_MS + 1);
+  const told = await submit(late);
+  assert.deepEqual([told.status, (JSON.parse(told.body) as { stage: string }).stage], [200, 'aborted']);
+});
+
+test('a cancellation is answered with a final state or refused', async () => {
+  const open = { kind: 'status', created: false, stage: 'pending', done: 0, running: 0 } as const;
+  const { door } = refused(() => open);
+  const told = await answer((reply) => {
+    door.cancel(ID, reply);
+  });
+  assert.equal(told.status, 503);
+});
+
+test('what was read in one term brings no job back in the next one of the same controller', async () => {
+  // Another controller may have led in between and ended the job.
+  let term = 1;
+  const created: string[] = [];
+  const leader = (): LocalLeader => ({
+    term,
+    view: () => ({ kind: 'unknown' }),
+    cancel: () => false,
+    created: (id) => created.push(id),
+  });
+  const store = {
+    get: (key: string) => {
+      term = 3;
+      return Promise.resolve({ kind: 'ok', value: { key, value: OPEN, version: 1, lease: null } });
+    },
+  } as unknown as StoreClient;
+  const told = await answer((reply) => {
+    doorOver(store, { leader }).cancel(ID, reply);
+  });
+  assert.equal(told.status, 503);
+  assert.deepEqual(created, []);
+});
+
+/** A follower with the state service at hand and no leader to ask. */
+function follower(
+  store: MemoryStore,
+  perSecond = 5,
+): { door: UserDoor; clock: FakeClock; asked: MeshRequest[] } {
+  const clock = new FakeClock();
+  const asked: MeshRequest[] = [];
+  const door = new UserDoor({
+    clock,
+    options: defaultOptions(),
+    store: store as unknown as StoreClient,
+    finals: new FinalCache(1),
+    submissions: new RateBudget(perSecond, () => clock.now()),
+    teams: [{ name: 'vision', cpus: 0, gpus: 8, cpusMax: 0, gpusMax: 1000 }],
+    catalog: () => new Catalog([{ ...BIG, name: 'g8', cpus: 96, gpus: 8, memory: 768 }]),
+    leader: () => null,
+    actAlone: () => Promise.resolve(leaderlessStep(store as unknown as StoreClient)),
+    askLeader: () => Promise.resolve(null),
+    askOthers: (request) => {
+      asked.push(request);
+      return Promise.resolve(null);
+    },
+  });
+  return { door, clock, asked };
+}
+
+const jobId = (n: number): string => `req-${String(n).padStart(6, '0')}`;
+const submit = (door: UserDoor, n: number): Promise<Answer> =>
+  answer((reply) => {
+    door.submit(JSON.stringify({ ...JOB, uid: jobId(n) }), reply);
+  });
+const poll = (door: UserDoor, n: number): Promise<Answer> =>
+  answer((reply) => {
+    door.poll(jobId(n), reply);
+  });
+const stage = (a: Answer): unknown => (JSON.parse(a.body) as { stage?: string }).stage;
+
+test('a final state takes the place of the open record, and is told wherever it is moved later', async () => {
+  const store = new MemoryStore();
+  const { door } = follower(store);
+  assert.equal((await submit(door, 1)).status, 201);
+  assert.equal(stage(await poll(door, 1)), 'pending');
+  const cancelled = await answer((reply) => {
+    door.cancel(jobId(1), reply);
+  });
+  assert.equal(stage(cancelled), 'aborted');
+  assert.deepEqual([...store.data.keys()], [KEYS.open(jobId(1))]);
+  // From here on by nodes that remember nothing, before and after the move to the archive.
+  for (const place of ['record', 'archive']) {
+    const other = follower(store).door;
+    assert.equal(stage(await poll(other, 1)), 'aborted', place);
+    const again = await submit(follower(store).door, 1);
+    assert.deepEqual([again.status, stage(again)], [200, 'aborted'], place);
+    const cancelledAgain = await answer((reply) => {
+      follower(store).door.cancel(jobId(1), reply);
+    });
+    assert.equal(stage(cancelledAgain), 'aborted', place);
+    const { value } = store.data.get(KEYS.open(jobId(1))) ?? { value: null };
+    if (place === 'record') {
+      store.apply([], [{ delete: KEYS.open(jobId(1)) }, { put: KEYS.final(jobId(1)), value }]);
+    }
+  }
+});
+
+test("submissions beyond this node's share are refused at once and cost the state service nothing", async () => {
+  const store = new MemoryStore();
+  const { door, clock, asked } = follower(store, 5);
+  const statuses: number[] = [];
+  for (let n = 0; n < 40; n++) {
+    const a = await submit(door, n);
+    statuses.push(a.status);
+    if (a.status !== 201) assert.ok((a.retryAfterS ?? 0) >= 1);
+  }
+  assert.equal(statuses.filter((s) => s === 201).length, 5);
+  assert.equal(statuses.filter((s) => s === 503).length, 35);
+  assert.equal(store.changes, 5);
+  clock.at += 1000;
+  assert.equal((await submit(door, 7)).status, 201);
+  // Refused for its rate by the service itself: this node leaves the changes to others for a while.
+  store.fates.push('over_limit');
+  assert.equal((await submit(door, 8)).status, 503);
+  const before = store.changes;
+  clock.at += 900;
+  assert.equal((await submit(door, 8)).status, 503);
+  assert.equal(store.changes, before);
+  clock.at += 300;
+  assert.equal((await submit(door, 8)).status, 201);
+  assert.deepEqual(asked, [], 'others were asked to spend what this node may not');
+});
+
+test('a submission that was carried out though its answer was lost is accepted after a look', async () => {
+  const store = new MemoryStore();
+  const { door } = follower(store);
+  store.fates.push('lost');
+  const a = await submit(door, 3);
+  assert.deepEqual([a.status, stage(a)], [200, 'pending']);
+  assert.equal(store.changes, 1);
+});
