--- a/src/sim/emulator.ts
+++ b/src/sim/emulator.ts
@@ -38,6 +38,8 @@
   /** From here on all troubles are over. */
   calmAtMs: number;
   endMs: number;
+  /** Puts and deletes that the state service was asked for. */
+  changesWritten: number;
 }
 
 const STATE_ADDRESS = 'state:1';
@@ -194,7 +196,8 @@
     }
     const endMs = scenario.endS * 1000;
     await queue.run(endMs);
-    return { events: this.log.events, calmAtMs: this.calmAtMs, endMs };
+    const { changesAsked: changesWritten } = this.state;
+    return { events: this.log.events, calmAtMs: this.calmAtMs, endMs, changesWritten };
   }
 
   // ---- what happens ----
--- a/src/sim/state.ts
+++ b/src/sim/state.ts
@@ -60,6 +60,8 @@
   /** Transactions carried out seconds late, after newer ones, without an answer. */
   lateWrites: Spell = { untilMs: 0, share: 0 };
   slowUntil = 0;
+  /** Puts and deletes asked for, also by transactions that found a condition unmet. */
+  changesAsked = 0;
   private readonly data = new Map<string, Entry>();
   private readonly leases = new Map<number, Lease>();
   private history: Change[] = [];
@@ -179,6 +181,7 @@
     const parsed = parse<TransactionBody>(body);
     if (!parsed || !this.withinLimits(parsed, body)) return MALFORMED;
     if (!this.writes.take(parsed.then?.length ?? 0)) return answer(429, { error: 'too many writes' });
+    this.changesAsked += parsed.then?.length ?? 0;
     if (this.strikes(this.lateWrites, this.always.late)) {
       this.queue.after(this.random.between(LATE_WRITE_MS.least, LATE_WRITE_MS.most), () => {
         if (this.queue.at >= this.outageUntil) this.apply(from, parsed);
