--- a/src/sim/check-service.ts
+++ b/src/sim/check-service.ts
@@ -6,13 +6,14 @@
 
 /** An accepted job about which no question is answered for so long, once the troubles are over, is forgotten. */
 const FORGOTTEN_MS = 75_000;
-/** Of the polls for other jobs so many are answered while one job is forgotten. */
+/** No job waits for so long while a machine that fits has room. */
 const LEFT_WAITING_MS = 90_000;
 const LOOK_MS = 1000;
 /** The largest jobs of a class have to begin within this time. */
 const BEGIN_MS = 240_000;
 /** Of a class's jobs those that are at least so large, in parts of the largest, count as its largest. */
 const LARGEST = 2 / 3;
+/** At least this share of a class, a team and a class's largest jobs is served. */
 const LEAST_SERVED = 0.5;
 const ROUNDING = 1e-9;
 
--- a/src/sim/node.ts
+++ b/src/sim/node.ts
@@ -109,7 +109,7 @@
       });
   }
 
-  serve({ from, request, reply }: Exchange): void {
+  serve({ request, reply }: Exchange): void {
     this.turn(this.life, () => {
       if (request.method === 'MESH') this.servePeer(request.body, reply);
       else {
@@ -117,7 +117,6 @@
         this.controller?.handle({ ...request, path }, reply);
       }
     });
-    void from;
   }
 
   private servePeer(body: string, reply: Exchange['reply']): void {
