Failures are attributed by a rule: failing jobs back off, faulty machines are returned

Cause: a task that ended with an error counted against both its job and its machine. Three failures of broken jobs took a healthy machine out of use for a minute; many tasks failing together on one faulty machine made a healthy job back off and forget which machine it was; a truly faulty machine was never returned. A failing job went on stopping tasks of lower rank, keeping machines free and having machines rented.

Change: workers/failure-attribution.ts holds the rule as pure functions. A job without any success that failed on three machines is failing: one task at a time probes it, attempts are spaced by 2 s to 60 s, nothing is stopped, kept free or (for 60 s) rented for it, and it is evidence against no machine. A machine on which two jobs failed that succeeded elsewhere is returned; one that three jobs blame takes no new tasks for a minute.

--- a/src/core/attempts.ts
+++ b/src/core/attempts.ts
@@ -4,6 +4,7 @@
 import { KEYS } from '../store/keys.ts';
 import { fetchTime } from '../scheduling/view.ts';
 import { attemptKey, newAttempt, type Attempt, type Machine } from '../workers/machine.ts';
+import { isFailing, recordFailure, recordSuccess, retryDelayMs } from '../workers/failure-attribution.ts';
 import type { WorkerEvent } from '../workers/reconcile.ts';
 import type { Cluster } from './cluster.ts';
 import type { LeaderDeps } from './context.ts';
@@ -146,11 +147,12 @@
     if (a.machine.liveCount === 0) a.machine.idleSince = this.now();
     this.forgetFetch(a.machine, job);
     if (a.cause === 'done') {
+      recordSuccess(job.failures, a.machine.index);
       if (this.cluster.gangs.has(job)) for (let task = 0; task < job.spec.tasks; task++) job.markDone(task);
       this.endings.taskDone(job, a.task);
     } else if (job.state[a.task] === ASSIGNED && others === 0) {
       job.giveBack(a.task, this.now());
-      if (a.cause === 'error') this.onError(job, a.machine);
+      if (a.cause === 'error') this.onError(job, a);
       else if (a.cause === 'unknown') job.notBefore = this.now() + 2000;
     }
     if (job.spec.gang) this.gangs.leave(job, a);
@@ -169,17 +171,19 @@
     machine.fetchingUntil = Math.max(this.now(), ...machine.images.values());
   }
 
-  private onError(job: Job, machine: Machine): void {
+  /** Notes the failure for the job and the machine, and spaces the job's attempts (`failure-attribution.ts`). */
+  private onError(job: Job, a: Attempt): void {
     const now = this.now();
-    job.failures += 1;
-    job.avoid.add(machine.index);
-    machine.errors += 1;
-    machine.lastErrorAt = now;
-    // Failing on several machines points to the job: it is tried ever more seldom, anywhere.
-    if (job.failures >= 3) {
-      job.notBefore = now + Math.min(120_000, 5000 * 2 ** Math.min(5, job.failures - 3));
-      job.avoid.clear();
-    }
-    this.deps.host.log.info({ job: job.id, machine: machine.name, failures: job.failures }, 'a task failed');
+    const { machine } = a;
+    recordFailure(job.failures, machine.failures, machine.index, a.assignedAt, now);
+    job.notBefore = Math.max(job.notBefore, now + retryDelayMs(job.failures));
+    const failing = isFailing(job.failures);
+    // A job that fails everywhere is tried anywhere.
+    if (failing) job.avoid.clear();
+    else job.avoid.add(machine.index);
+    this.deps.host.log.info(
+      { job: job.id, machine: machine.name, strikes: job.failures.strikes, failing },
+      'a task failed',
+    );
   }
 }
--- a/src/core/rounds.ts
+++ b/src/core/rounds.ts
@@ -10,6 +10,7 @@
   type RoundResult,
   type TeamRoom,
 } from '../scheduling/view.ts';
+import { judgeMachine } from '../workers/failure-attribution.ts';
 import type { Attempt } from '../workers/machine.ts';
 import type { Attempts } from './attempts.ts';
 import type { Cluster } from './cluster.ts';
@@ -174,6 +175,8 @@
     const from = this.placingSince;
     for (const m of this.cluster.machines.values()) {
       if (m.returning || m.liveCount > 0 || !m.accounted || held.has(m.index)) continue;
+      // Not given back on mere suspicion: it is idle only because nothing is placed on it.
+      if (judgeMachine(m.failures, m.index, now) === 'suspected') continue;
       idle.push({ name: m.name, type: m.type, idleMs: now - Math.max(m.idleSince, from) });
     }
     return idle;
@@ -189,7 +192,7 @@
     if (!this.deps.options.scheduling.preempt) return;
     const guaranteed = this.views.guaranteedJobs();
     const waitingOf = (g: GroupView): number =>
-      g.only >= 0 ? 0 : (result.unplaced.get(g.job) ?? 0) + (result.awaiting.get(g.job) ?? 0);
+      g.only >= 0 || g.probe ? 0 : (result.unplaced.get(g.job) ?? 0) + (result.awaiting.get(g.job) ?? 0);
     const pressing = groups.filter((g) => waitingOf(g) > 0).sort((a, b) => b.priority - a.priority);
     // A swarm of waiting jobs must not make a round long: the others get their turn in the next.
     for (const group of pressing.slice(0, MOST_MADE_ROOM)) {
@@ -233,7 +236,7 @@
     teamRoom: readonly TeamRoom[],
     victims: Victims,
   ): boolean {
-    if (!group.quick || job.spec.tasks !== 1 || group.only >= 0) return false;
+    if (!group.quick || group.probe || job.spec.tasks !== 1 || group.only >= 0) return false;
     if (!this.deps.options.scheduling.preempt) return false;
     const fetchS = (m: MachineView): number => m.fetchS(group.image, group.imageGb);
     const slackS = group.slackS - SETTLE_S;
--- a/src/core/views.ts
+++ b/src/core/views.ts
@@ -20,6 +20,7 @@
   type Room,
   type TeamRoom,
 } from '../scheduling/view.ts';
+import { isFailing, judgeMachine } from '../workers/failure-attribution.ts';
 import { shareGuarantees, type GuaranteeLeft } from '../scheduling/urgency.ts';
 import type { JobRequest } from '../wire/user.ts';
 
@@ -48,6 +49,10 @@
 /** A start that is undone at once was for nothing: others are stopped rather. */
 const JUST_STARTED_MS = 30_000;
 const JUST_STARTED_S = 5;
+/** Cost steps of a machine for each job that has failed on it. */
+const PENALTY_STEPS = 5;
+/** A failing job that has found no room on a present machine for so long may have one rented. */
+const PROBE_RENTS_AFTER_MS = 60_000;
 
 /** The work that waits, of each job against what the jobs of its class have on average. */
 class MeanWork {
@@ -142,6 +147,13 @@
     return { slackS: watched && slackS === Infinity ? -1 : slackS, patienceS, perTask };
   }
 
+  /** Cost steps of a machine that failed tasks of jobs which are not known to fail everywhere. */
+  private failurePenalty(m: Machine): number {
+    let jobs = 0;
+    for (const job of m.failures.jobs) if (!isFailing(job)) jobs += 1;
+    return jobs * PENALTY_STEPS;
+  }
+
   private warmth(m: Machine): number {
     let warm = 0;
     for (const image of m.images.keys()) if (this.sources.quickImages.has(image)) warm += 1;
@@ -159,7 +171,7 @@
       if (now - m.heardAt > reportMs * 1.6) continue;
       // Work must not wait on a machine that may be no more than a late copy of a report, or that hears nothing.
       if (m.token !== this.deps.term || m.unheard > 0) continue;
-      if (m.errors >= 3 && now - m.lastErrorAt < 60_000) continue;
+      if (judgeMachine(m.failures, m.index, now) !== 'healthy') continue;
       const fetchingS = m.fetchingUntil > now ? (m.fetchingUntil - now) / 1000 : 0;
       views.push({
         machine: m.index,
@@ -179,7 +191,7 @@
         },
         warm: this.warmth(m),
         parked: false,
-        penalty: m.errors * 5,
+        penalty: this.failurePenalty(m),
         price: m.id.spot ? type.spotPrice : type.price,
       });
     }
@@ -251,13 +263,18 @@
       if (job.ending !== null || job.pendingCount === 0 || now < job.notBefore) continue;
       const able = accounted ? job.pendingCount : job.surelyPending();
       if (able === 0) continue;
-      if (job.spec.gang && (this.c.gangs.has(job) || (this.c.liveOf.get(job)?.size ?? 0) > 0)) continue;
+      const live = this.c.liveOf.get(job)?.size ?? 0;
+      if (job.spec.gang && (this.c.gangs.has(job) || live > 0)) continue;
+      const probe = isFailing(job.failures);
+      if (probe && live > 0) continue;
       const spec = job.spec;
       const waitedMs = now - job.waitingSince;
       // Under a backlog who is late soonest goes first, whoever comes: nothing bounds the wait for a first task. A few
       // first tasks go before everything else of their rank; the rest takes its turn.
       const starving = !spec.gang && job.untouched && waitedMs > scheduling.begin_after_s * 1000;
-      const pending = starving ? Math.min(able, FIRST_TASKS) : able;
+      let pending = starving ? Math.min(able, FIRST_TASKS) : able;
+      // One task shows whether the job still fails; of a gang all are needed for that.
+      if (probe && !spec.gang) pending = 1;
       const { slackS, patienceS, perTask } = this.slackOf(job, guaranteed.has(job));
       const liveByZone = new Map<number, number>();
       if (spec.oneZone || spec.spread) {
@@ -282,7 +299,9 @@
         liveByZone,
         quick: this.sources.forecast.watches(spec.className),
         expected: false,
-        waitedMs: starving ? LONGEST_MS + waitedMs : waitedMs,
+        waitedMs: probe ? 0 : starving ? LONGEST_MS + waitedMs : waitedMs,
+        probe,
+        rents: !probe || now - job.notBefore > PROBE_RENTS_AFTER_MS,
         image: spec.image,
         imageGb: spec.imageGb,
         avoid: job.avoid,
@@ -340,6 +359,8 @@
       quick: true,
       expected: true,
       waitedMs: 0,
+      probe: false,
+      rents: true,
       image: e.like.image,
       imageGb: 0,
       avoid: new Set(),
--- a/src/core/warmup.ts
+++ b/src/core/warmup.ts
@@ -41,6 +41,8 @@
     quick: job % 2 === 0,
     expected: false,
     waitedMs: job * 300,
+    probe: false,
+    rents: true,
     image: `i${job % 3}`,
     imageGb: 2,
     avoid: new Set(),
--- a/src/core/watch.ts
+++ b/src/core/watch.ts
@@ -1,6 +1,7 @@
 import { DRIFT } from './clock.ts';
 import type { Fleet } from '../fleet/fleet.ts';
 import type { Attempt, Machine } from '../workers/machine.ts';
+import { judgeMachine } from '../workers/failure-attribution.ts';
 import { loseAll } from '../workers/reconcile.ts';
 import type { Attempts } from './attempts.ts';
 import type { Cluster } from './cluster.ts';
@@ -119,6 +120,10 @@
       m.accounted = true;
       this.cluster.dirty = true;
     }
+    if (!m.returning && judgeMachine(m.failures, m.index, now) === 'faulty') {
+      this.deps.host.log.info({ machine: m.name, jobs: m.failures.jobs.size }, 'faulty machine, returned');
+      this.fleet.giveBack([m.name]);
+    }
     const quietMs = this.quietMs(m, now);
     if (quietMs > this.reportMs * 1.5 || m.unheard > 0) this.orders.probe(m);
     else m.probesFailed = 0;
--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -1,3 +1,4 @@
+import { newJobFailures } from '../workers/failure-attribution.ts';
 import type { JobRequest, JobStatus } from '../wire/user.ts';
 
 export const PENDING = 0;
@@ -29,8 +30,8 @@
   /** Called with the final state once it is durable. */
   readonly whenFinal: (() => void)[] = [];
   final: 'done' | 'cancelled' | null = null;
-  /** Failures in a row without a task done: a job that fails everywhere must not burn machines. */
-  failures = 0;
+  readonly failures = newJobFailures();
+  /** No task is started before this time, in milliseconds on the steady clock. */
   notBefore = 0;
   /**
    * How many attempts hold a task. After a takeover a late report can show a task on a machine that is gone
@@ -139,7 +140,6 @@
     if (state === PENDING) this.pendingCount -= 1;
     this.state[task] = DONE;
     this.doneCount += 1;
-    this.failures = 0;
     this.dirtyChunks.add(Math.floor(task / CHUNK_TASKS));
     return true;
   }
@@ -155,6 +155,7 @@
       if (!set || before === DURABLE) continue;
       if (before === PENDING) this.pendingCount -= 1;
       if (before < DONE) this.doneCount += 1;
+      this.failures.succeededBefore = true;
       this.state[task] = DURABLE;
       this.durableCount += 1;
     }
--- a/src/scheduling/plan.ts
+++ b/src/scheduling/plan.ts
@@ -134,6 +134,7 @@
       const count = Math.min(wanted, each * target.views.length);
       return { target, each, count, cost: clamp(machineCost(group, first, each, cheapest, options)) };
     }
+    if (target.kind === 'rent' && !group.rents) return null;
     const fetchS = fetchOn(target, group.image, group.imageGb);
     const count = Math.min(wanted, each);
     if (!target.option)
--- a/src/scheduling/urgency.ts
+++ b/src/scheduling/urgency.ts
@@ -10,7 +10,7 @@
 /** From 0, not pressing, to 1: about to be late. What is late already makes way for what is not, for a while. */
 function pressure(group: GroupView, reserveAfterMs: number): number {
   if (group.waitedMs > reserveAfterMs * STARVING) return 1;
-  if (group.slackS < 0) return 0;
+  if (group.slackS < 0 || group.probe) return 0;
   // Among jobs that all can't be in time, those that need least room: more of them are.
   return HALF_S / (HALF_S + group.slackS) / (1 + group.size);
 }
@@ -45,6 +45,7 @@
   const ordered = groups.map((group) => ({ group, key: urgency(group, reserveAfterMs) }));
   ordered.sort((a, b) => b.key - a.key);
   for (const { group } of ordered) {
+    if (group.probe) continue;
     const room = left[group.team]!;
     const gpus = group.need.gpus * group.pending;
     const cpus = group.need.cpus * group.pending;
--- a/src/scheduling/view.ts
+++ b/src/scheduling/view.ts
@@ -30,6 +30,10 @@
   /** Tasks that are only expected: they hold room and rent, but nothing is placed for them. */
   expected: boolean;
   waitedMs: number;
+  /** A further attempt of a job that has failed everywhere: nothing is stopped or kept free for it. */
+  probe: boolean;
+  /** Machines may be rented for it. */
+  rents: boolean;
   image: string;
   imageGb: number;
   avoid: ReadonlySet<number>;
--- /dev/null
+++ b/src/workers/failure-attribution.ts
@@ -0,0 +1,122 @@
+/**
+ * Decides whether a task that ended with `error` points to its job or to its machine.
+ *
+ * A job that was submitted with a mistake fails on every machine; a faulty machine fails the tasks of many jobs,
+ * which succeed elsewhere. The rule:
+ *
+ * - A job is *failing* once it has failed on `FAILING_MACHINES` different machines and none of its tasks has ever
+ *   succeeded. A failing job is evidence against no machine.
+ * - A failure is *proof* against a machine if a task of the same job has succeeded on another machine, before or after
+ *   it. A machine with proof from `FAULTY_JOBS` jobs is *faulty*: it is returned.
+ * - A failure is a *suspicion* while the job has failed on no other machine. A machine under suspicion of (or proven
+ *   by) `SUSPECTING_JOBS` jobs in all takes no new tasks until `SUSPICION_MS` after its last failure.
+ * - Attempts after failures without a success between them are spaced by `retryDelayMs`. Failures of attempts that
+ *   were under way at the same time count as one.
+ *
+ * The history lives in the leader's memory. A new leader learns it anew, which costs a failing job a few attempts.
+ */
+
+/** Different machines on which a job without any success fails before the fault is taken to be its own. */
+export const FAILING_MACHINES = 3;
+/** Jobs whose failures prove a machine to be faulty. */
+export const FAULTY_JOBS = 2;
+/** Jobs whose failures, proven or not, keep new tasks away from a machine for a while. */
+export const SUSPECTING_JOBS = 3;
+/** How long after its last failure a suspected machine takes no new tasks, in milliseconds. */
+export const SUSPICION_MS = 60_000;
+/** Delay of the second retry, in milliseconds; the first one is made at once, on another machine. */
+export const RETRY_BASE_MS = 2000;
+/** Greatest delay between two attempts, in milliseconds. */
+export const RETRY_MAX_MS = 60_000;
+
+/** What is remembered of one job's attempts. Machines are given by index. */
+export interface JobFailures {
+  /** Machines on which a task of it has ended with `error`. */
+  readonly failedOn: Set<number>;
+  /** A task of it was done under an earlier leader, on a machine that isn't known. */
+  succeededBefore: boolean;
+  /** The first machine on which a task of it was done, or null. */
+  succeededOn: number | null;
+  /** Tasks were done on more than one machine. */
+  succeededOnSeveral: boolean;
+  /** Failures since the last success, those of simultaneous attempts counted once. */
+  strikes: number;
+  lastStrikeAt: number;
+}
+
+/** What is remembered of one machine's failures. */
+export interface MachineFailures {
+  /** Jobs that have failed on it. */
+  readonly jobs: Set<JobFailures>;
+  /** Time of the last failure, in milliseconds on the steady clock. */
+  lastAt: number;
+}
+
+export type MachineVerdict = 'healthy' | 'suspected' | 'faulty';
+
+export function newJobFailures(): JobFailures {
+  return {
+    failedOn: new Set(),
+    succeededBefore: false,
+    succeededOn: null,
+    succeededOnSeveral: false,
+    strikes: 0,
+    lastStrikeAt: -Infinity,
+  };
+}
+
+export function newMachineFailures(): MachineFailures {
+  return { jobs: new Set(), lastAt: -Infinity };
+}
+
+/** Notes that an attempt, made at `assignedAt`, ended with `error` at `now` (milliseconds, steady clock). */
+export function recordFailure(
+  job: JobFailures,
+  machine: MachineFailures,
+  machineIndex: number,
+  assignedAt: number,
+  now: number,
+): void {
+  job.failedOn.add(machineIndex);
+  if (assignedAt >= job.lastStrikeAt) {
+    job.strikes += 1;
+    job.lastStrikeAt = now;
+  }
+  machine.jobs.add(job);
+  machine.lastAt = now;
+}
+
+/** Notes that a task of the job was done on this machine. */
+export function recordSuccess(job: JobFailures, machineIndex: number): void {
+  job.strikes = 0;
+  if (job.succeededOn === null) job.succeededOn = machineIndex;
+  else if (job.succeededOn !== machineIndex) job.succeededOnSeveral = true;
+}
+
+/** The job fails wherever it is tried. */
+export function isFailing(job: JobFailures): boolean {
+  const succeeded = job.succeededBefore || job.succeededOn !== null;
+  return !succeeded && job.failedOn.size >= FAILING_MACHINES;
+}
+
+/** How long the job's next attempt waits after its last failure, in milliseconds. */
+export function retryDelayMs(job: JobFailures): number {
+  if (job.strikes <= 1) return 0;
+  return Math.min(RETRY_MAX_MS, RETRY_BASE_MS * 2 ** Math.min(16, job.strikes - 2));
+}
+
+function succeededElsewhere(job: JobFailures, machineIndex: number): boolean {
+  return job.succeededOnSeveral || (job.succeededOn !== null && job.succeededOn !== machineIndex);
+}
+
+export function judgeMachine(machine: MachineFailures, machineIndex: number, now: number): MachineVerdict {
+  let proven = 0;
+  let suspecting = 0;
+  for (const job of machine.jobs) {
+    if (succeededElsewhere(job, machineIndex)) proven += 1;
+    else if (job.failedOn.size === 1) suspecting += 1;
+  }
+  if (proven >= FAULTY_JOBS) return 'faulty';
+  const suspected = proven + suspecting >= SUSPECTING_JOBS && now - machine.lastAt < SUSPICION_MS;
+  return suspected ? 'suspected' : 'healthy';
+}
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -1,5 +1,6 @@
 import type { Job } from '../jobs/job.ts';
 import type { Cause, TaskPhase } from '../wire/worker.ts';
+import { newMachineFailures } from './failure-attribution.ts';
 
 /** One start of a task on a machine, from the decision until the machine has forgotten it. */
 export interface Attempt {
@@ -54,8 +55,7 @@
   accounted = false;
   returning = false;
   idleSince: number;
-  errors = 0;
-  lastErrorAt = -Infinity;
+  readonly failures = newMachineFailures();
   readonly firstSeenAt: number;
   /** Direct questions in a row without an answer. */
   probesFailed = 0;
--- a/test/helpers.ts
+++ b/test/helpers.ts
@@ -48,6 +48,8 @@
     quick: false,
     expected: false,
     waitedMs: 0,
+    probe: false,
+    rents: true,
     image: 'i',
     imageGb: 0,
     avoid: new Set(),
--- /dev/null
+++ b/test/model/failures.test.ts
@@ -0,0 +1,46 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import { pino } from 'pino';
+import { play } from './play.ts';
+
+interface Entry {
+  msg: string;
+  machine?: string;
+  machines?: string[];
+  job?: string;
+}
+
+test('jobs that fail everywhere end with a cancellation; only the faulty machine is returned for it', async () => {
+  // Jobs that failed everywhere took healthy machines out of use, and machines that failed all jobs were kept.
+  let returned = 0;
+  for (let seed = 1; seed <= 6; seed++) {
+    const entries: Entry[] = [];
+    const log = pino({ level: 'info' }, { write: (line: string) => entries.push(JSON.parse(line) as Entry) });
+    // An array, a gang and a bound array with a mistake, cancelled late, among healthy ones.
+    const jobs = Array.from({ length: 14 }, (_, i) => ({
+      atS: 2 + i * 4,
+      shape: i % 6,
+      tasks: 3,
+      runS: 12,
+      cancelS: i < 3 ? 100 : 0,
+    }));
+    const mistaken = [0, 1, 2];
+    const world = await play(
+      { seed: seed * 31, faults: [], faulty: [1], jobs, mistaken, endS: 200 },
+      {},
+      log,
+    );
+    assert.equal(world.broken.slice(0, 3).join('; '), '');
+    const told = [...world.users.values()].map((u) => u.told);
+    assert.deepEqual(
+      told,
+      jobs.map((_, i) => (mistaken.includes(i) ? 'cancelled' : 'done')),
+    );
+    const faulty = entries.filter((e) => e.msg === 'faulty machine, returned').map((e) => e.machine!);
+    for (const name of faulty) assert.ok(world.faulty.has(name), `${name} is healthy`);
+    returned += faulty.length;
+    const failures = entries.filter((e) => e.msg === 'a task failed' && e.job === 'req-000000').length;
+    assert.ok(failures >= 5 && failures <= 14, `${failures} attempts of an array that always fails`);
+  }
+  assert.ok(returned > 0);
+});
--- a/test/model/play.ts
+++ b/test/model/play.ts
@@ -9,6 +9,10 @@
   faults: Fault[];
   /** How long the day is; 170 s if not given. */
   endS?: number;
+  /** Positions of jobs that fail everywhere. */
+  mistaken?: number[];
+  /** Positions of the first machines that fail whatever they run. */
+  faulty?: number[];
   jobs: { atS: number; shape: number; tasks: number; runS: number; cancelS: number }[];
 }
 
@@ -25,6 +29,8 @@
 export async function play(s: Scenario, guards: Partial<Guards> = {}, log: Logger = silent): Promise<World> {
   const sim = new Sim(s.seed);
   const world = new World(sim, { roster: true, begun: true, lease: true, fence: true, ...guards }, log);
+  const machineNames = [...world.all.keys()];
+  for (const at of s.faulty ?? []) world.faulty.add(machineNames[at]!);
   s.jobs.forEach((j, i) => {
     const wire = {
       ...JOB,
@@ -42,6 +48,7 @@
       dueS: null,
       ...SHAPES[j.shape]!,
     };
+    if (s.mistaken?.includes(i)) world.mistaken.add(wire.uid);
     sim.after(j.atS * 1000, () => world.submit(wire));
     if (j.cancelS > 0) sim.after((j.atS + j.cancelS) * 1000, () => world.cancel(wire.uid));
   });
--- a/test/model/workers.ts
+++ b/test/model/workers.ts
@@ -28,8 +28,12 @@
   /** Sends a report; the callback gets the answer, if one comes in time. */
   send(worker: WorkerModel, report: Report, answer: (token: number, commands: Command[]) => void): void;
   runMs(job: JobRequest): number;
+  /** Whether the task ends with an error soon after it has begun to run. */
+  fails(held: Held): boolean;
 }
 
+const TIME_TO_ERROR_MS = 1000;
+
 /** A worker as the protocol describes it: tokens, sessions, leases, and commands that may be repeated. */
 export class WorkerModel {
   session = 1;
@@ -241,6 +245,12 @@
         for (const m of members) m.worker.end(m, 'done', false);
       } else this.end(held, 'done', false);
     };
+    if (this.w.fails(held)) {
+      sim.after(TIME_TO_ERROR_MS, () => {
+        if (this.alive(held)) this.end(held, 'error', false);
+      });
+      return;
+    }
     sim.after(this.w.runMs(held.job), finish);
     if (held.job.gang) this.watchPeers(held);
   }
--- a/test/model/world.ts
+++ b/test/model/world.ts
@@ -103,6 +103,10 @@
   started = 0;
   /** When the first task of each job started. */
   readonly firstStart = new Map<string, number>();
+  /** Jobs whose tasks end with an error wherever they run. */
+  readonly mistaken = new Set<string>();
+  /** Machines on which every task ends with an error. */
+  readonly faulty = new Set<string>();
   private copiesUntil = 0;
   private readonly zoneCutUntil = new Map<string, number>();
   /** All troubles are over by then. */
@@ -201,6 +205,10 @@
     return job.estimateS * 1000 * this.sim.between(0.5, 1.8);
   }
 
+  fails(held: Held): boolean {
+    return this.mistaken.has(held.job.id) || this.faulty.has(held.worker.name);
+  }
+
   onStart(held: Held): void {
     this.started += 1;
     if (!this.firstStart.has(held.job.id)) this.firstStart.set(held.job.id, this.sim.at);
