Guests leave free accelerators their share, and dear machines are not rented for idle work

Cause: a backfill of a team without a guarantee filled the processors of machines whose accelerators stood idle, so that each task which needs one had to stop guests first and wait for that; and any machine that fits was rented for it, at up to eighteen times the lowest price per task.

Change: work of the lowest rank of a team without a guarantee takes what is left of a machine once each free accelerator has its share. For work of which nothing is expected, machines are rented up to fleet.idle_price_times (2) of the lowest price per task; the bound rises while nothing of the job is placed.

--- a/src/config/options.ts
+++ b/src/config/options.ts
@@ -101,6 +101,13 @@
     takeover_rent_s: tunable(4, 0, 300, 's', 'wait of a new leader before it rents'),
     patience_share: tunable(0.9, 0, 1, 'share', 'part of its spare time that a job waits rather than rent'),
     patience_max_s: tunable(200, 0, 3600, 's', 'longest such wait'),
+    idle_price_times: tunable(
+      2,
+      1,
+      1000,
+      'times',
+      'price per task, as a multiple of the lowest, up to which machines are rented for work nobody waits for',
+    ),
     idle_s: tunable(8, 0, 3600, 's', 'least idle time after which a machine is returned'),
     idle_boot_share: tunable(0.3, 0, 100, 'share', 'idle time before a return, as a part of the boot time'),
     least_charge_s: tunable(
--- a/src/core/views.ts
+++ b/src/core/views.ts
@@ -54,6 +54,15 @@
 /** A failing job that has found no room on a present machine for so long may have one rented. */
 const PROBE_RENTS_AFTER_MS = 60_000;
 
+/** While no task of it is placed, work that nobody waits for may cost as much again after each such time. */
+const IDLE_PATIENCE_MS = 120_000;
+
+/** The share of a machine that belongs to each of its accelerators. */
+function perAccelerator(size: Room): Room | null {
+  if (size.gpus === 0) return null;
+  return { cpus: size.cpus / size.gpus, gpus: 1, memory: size.memory / size.gpus };
+}
+
 /** The work that waits, of each job against what the jobs of its class have on average. */
 class MeanWork {
   private readonly noted: { group: GroupView; className: string; work: number; perTask: boolean }[] = [];
@@ -147,6 +156,23 @@
     return { slackS: watched && slackS === Infinity ? -1 : slackS, patienceS, perTask };
   }
 
+  /**
+   * The most that a machine may cost for each task of work that nobody waits for. The bound rises while no task of
+   * the job finds a place, so that it begins at last where nothing cheap can be had.
+   */
+  private idlePriceMost(job: Job, waitedMs: number): number {
+    const { idle_price_times } = this.deps.options.fleet;
+    let least = Infinity;
+    for (const type of this.deps.catalog.types) {
+      if (job.spec.types && !job.spec.types.includes(type.name)) continue;
+      const tasks = fits(job.spec, type);
+      if (tasks === 0) continue;
+      const price = job.spec.spot ? Math.min(type.price, type.spotPrice) : type.price;
+      least = Math.min(least, price / tasks);
+    }
+    return least * idle_price_times * (1 + waitedMs / IDLE_PATIENCE_MS);
+  }
+
   /** Cost steps of a machine that failed tasks of jobs which are not known to fail everywhere. */
   private failurePenalty(m: Machine): number {
     let jobs = 0;
@@ -179,6 +205,7 @@
         zone: m.zone,
         spot: m.id.spot,
         free: this.freeOf(m),
+        perAccelerator: perAccelerator(type),
         leaving: this.leavingOf(m, now),
         load: m.liveCount,
         // Up, but not yet written to the roster: that takes a moment, no new machine.
@@ -204,6 +231,7 @@
         zone: b.zone,
         spot: b.spot,
         free: roomOf(type),
+        perAccelerator: perAccelerator(type),
         leaving: [],
         load: 0,
         bootsInS: Math.max(1, type.bootS - (now - b.rentedAt) / 1000),
@@ -276,6 +304,10 @@
       // One task shows whether the job still fails; of a gang all are needed for that.
       if (probe && !spec.gang) pending = 1;
       const { slackS, patienceS, perTask } = this.slackOf(job, guaranteed.has(job));
+      const team = this.deps.teams[job.team]!;
+      const guest = spec.priority === 0 && team.cpus === 0 && team.gpus === 0;
+      // Nothing is expected of its class at any time.
+      const idle = guest && slackS === Infinity;
       const liveByZone = new Map<number, number>();
       if (spec.oneZone || spec.spread) {
         for (const a of this.c.liveOf.get(job) ?? []) {
@@ -301,6 +333,8 @@
         expected: false,
         waitedMs: probe ? 0 : starving ? LONGEST_MS + waitedMs : waitedMs,
         probe,
+        guest: guest && !starving,
+        rentPriceMost: idle ? this.idlePriceMost(job, waitedMs) : Infinity,
         rents: !probe || now - job.notBefore > PROBE_RENTS_AFTER_MS,
         image: spec.image,
         imageGb: spec.imageGb,
@@ -361,6 +395,8 @@
       waitedMs: 0,
       probe: false,
       rents: true,
+      guest: false,
+      rentPriceMost: Infinity,
       image: e.like.image,
       imageGb: 0,
       avoid: new Set(),
--- a/src/scheduling/extract.ts
+++ b/src/scheduling/extract.ts
@@ -2,6 +2,7 @@
 import type { Target } from './targets.ts';
 import {
   fits,
+  groupFits,
   takeRoom,
   teamFits,
   type GroupView,
@@ -51,7 +52,7 @@
       let bestCost = Infinity;
       for (const m of list) {
         const cost = m.added + (fetch > 0 && !m.images.has(group.image) ? fetch : 0);
-        if (cost >= bestCost || fits(group.need, m.room) === 0) continue;
+        if (cost >= bestCost || groupFits(group, m.room, m.view.perAccelerator) === 0) continue;
         best = m;
         bestCost = cost;
         if (cost === 0) break;
@@ -59,7 +60,7 @@
       if (!best) break;
       // What follows on the same machine costs less than the first there, as long as steps don't add up to more.
       const more = fetch > 0 ? Math.max(1, Math.floor(fetch)) : 1;
-      const n = Math.min(left, more, fits(group.need, best.room));
+      const n = Math.min(left, more, groupFits(group, best.room, best.view.perAccelerator));
       takeRoom(best.room, group.need, n);
       best.added += n;
       best.images.add(group.image);
--- a/src/scheduling/plan.ts
+++ b/src/scheduling/plan.ts
@@ -1,6 +1,6 @@
 import { allowed, fetchOn, fitting, type Needs, type Target } from './targets.ts';
 import { BAND, urgency } from './urgency.ts';
-import { fits, teamFits, type GroupView, type MachineView, type TeamRoom } from './view.ts';
+import { fits, groupFits, teamFits, type GroupView, type MachineView, type TeamRoom } from './view.ts';
 import { pickZone } from './zones.ts';
 
 export interface CostOptions {
@@ -131,8 +131,10 @@
     if (target.kind === 'now') {
       const first = target.views[0]!;
       if (group.avoid.has(first.machine)) return null;
-      const count = Math.min(wanted, each * target.views.length);
-      return { target, each, count, cost: clamp(machineCost(group, first, each, cheapest, options)) };
+      const room = group.guest ? groupFits(group, first.free, first.perAccelerator) : each;
+      if (room === 0) return null;
+      const count = Math.min(wanted, room * target.views.length);
+      return { target, each: room, count, cost: clamp(machineCost(group, first, each, cheapest, options)) };
     }
     if (target.kind === 'rent' && !group.rents) return null;
     const fetchS = fetchOn(target, group.image, group.imageGb);
@@ -142,6 +144,7 @@
     const { price, bootS, size } = target.option;
     const waitS = bootS + fetchS + group.patienceS + options.rentBiasS;
     const perTask = price / fits(group.need, size);
+    if (perTask > group.rentPriceMost) return null;
     const cost = BAND + press + clamp(perTask * options.rentSteps + waitS * STEP);
     return { target, each, count, cost };
   }
--- a/src/scheduling/view.ts
+++ b/src/scheduling/view.ts
@@ -34,6 +34,10 @@
   probe: boolean;
   /** Machines may be rented for it. */
   rents: boolean;
+  /** Work of the lowest rank of a team without a guarantee: it leaves each free accelerator its share of a machine. */
+  guest: boolean;
+  /** Greatest hourly price per task at which a machine is rented for it. */
+  rentPriceMost: number;
   image: string;
   imageGb: number;
   avoid: ReadonlySet<number>;
@@ -55,6 +59,8 @@
   zone: number;
   spot: boolean;
   free: Room;
+  /** Room of the machine for each of its accelerators; null: it has none. */
+  perAccelerator: Room | null;
   /** Room that running tasks are expected to leave, soonest first; each entry adds to those before. */
   leaving: { inS: number; room: Room }[];
   /** Tasks on it. */
@@ -124,6 +130,19 @@
   return count === Infinity ? 1000 : Math.max(0, Math.floor(count));
 }
 
+/** How many of a group's tasks fit into the free room of a machine. */
+export function groupFits(
+  group: { need: Room; guest: boolean },
+  free: Room,
+  perAccelerator: Room | null,
+): number {
+  if (!group.guest || perAccelerator === null || group.need.gpus > 0) return fits(group.need, free);
+  // Guests that filled the processors beside idle accelerators had to be stopped for each task that needs one.
+  const left = { ...free };
+  takeRoom(left, { ...perAccelerator, gpus: 0 }, Math.max(0, free.gpus));
+  return fits(group.need, left);
+}
+
 export function takeRoom(free: Room, need: Room, count = 1): void {
   free.cpus -= need.cpus * count;
   free.gpus -= need.gpus * count;
--- a/test/scheduling/round.test.ts
+++ b/test/scheduling/round.test.ts
@@ -416,3 +416,38 @@
   }
   assert.equal(served.size, low.length, `${turns} rounds`);
 });
+
+test('guests leave each free accelerator its share of the machine, and take what lies beside taken ones', () => {
+  // They once filled the processors of machines whose accelerators stood idle, and were stopped for every task that
+  // came to use those.
+  const perAccelerator = { cpus: 8, gpus: 1, memory: 16 };
+  const machines = [
+    machine({ machine: 0, free: { cpus: 32, gpus: 4, memory: 64 }, perAccelerator }),
+    machine({ machine: 1, free: { cpus: 12, gpus: 1, memory: 32 }, perAccelerator }),
+    machine({ machine: 2, free: { cpus: 3, gpus: 0, memory: 20 }, perAccelerator }),
+  ];
+  const work = group({ pending: 50, need: { cpus: 1, gpus: 0, memory: 1 } });
+  const placed = (guest: boolean): Map<number, number> => {
+    const found = runRound([{ ...work, guest }], machines, [], FREE_TEAM, sizeOf, OPTIONS);
+    return new Map(found.placements.map((p) => [p.machine, p.count]));
+  };
+  assert.deepEqual([...placed(true)].sort(), [
+    [1, 4],
+    [2, 3],
+  ]);
+  assert.deepEqual([...placed(false)].sort(), [
+    [0, 32],
+    [1, 12],
+    [2, 3],
+  ]);
+});
+
+test('machines are rented for idle work only up to its price per task', () => {
+  const dear = option({ option: 0, size: { cpus: 4, gpus: 0, memory: 16 }, price: 4 });
+  const cheap = option({ option: 1, size: { cpus: 4, gpus: 0, memory: 16 }, price: 1 });
+  const idle = group({ pending: 4, rentPriceMost: 0.5 });
+  const rents = (options: (typeof dear)[]): number[] =>
+    [...runRound([idle], [], options, FREE_TEAM, sizeOf, OPTIONS).rents.keys()].sort();
+  assert.deepEqual(rents([dear]), []);
+  assert.deepEqual(rents([dear, cheap]), [1]);
+});
