Guests' work is stopped on machines that are too dear to be kept up for it alone

Cause: a machine with accelerators on which only a guest's task was left stayed up until that ended, at up to eighteen times the lowest price per task; and guests' work counted as a need for machines, so that none was surplus.

Change: scheduling/idle-work.ts compares a machine's price until such tasks end with what they are worth; after fleet.idle_s they are stopped (and saved) and the machine goes back. Guests make no machine count as needed, and idle surplus machines beyond their price are not taken up by them. What a task is worth rises with its job's age.

--- a/src/core/rounds.ts
+++ b/src/core/rounds.ts
@@ -1,6 +1,7 @@
 import type { Fleet, IdleMachine } from '../fleet/fleet.ts';
 import type { Job } from '../jobs/job.ts';
 import { pickVictims, type VictimView } from '../scheduling/preempt.ts';
+import { worthKeeping } from '../scheduling/idle-work.ts';
 import { runRound } from '../scheduling/round.ts';
 import {
   roomOf,
@@ -11,7 +12,7 @@
   type TeamRoom,
 } from '../scheduling/view.ts';
 import { judgeMachine } from '../workers/failure-attribution.ts';
-import type { Attempt } from '../workers/machine.ts';
+import type { Attempt, Machine } from '../workers/machine.ts';
 import type { Attempts } from './attempts.ts';
 import type { Cluster } from './cluster.ts';
 import type { LeaderDeps } from './context.ts';
@@ -39,6 +40,8 @@
   private count = 0;
   private mostGroups = FIRST_GROUPS;
   private placingSince = Infinity;
+  /** Machines on which nothing but guests' work runs, and since when. */
+  private readonly guestsOnlySince = new WeakMap<Machine, number>();
 
   constructor(
     private readonly cluster: Cluster,
@@ -162,7 +165,10 @@
       this.deps.host.log.info({ job: job.id, machine: machine.name, tasks: p.count }, 'placed');
     }
     // Whoever was left out may need what is idle now: it was once returned, and rented anew a moment later.
-    if (result.leftOut === 0) this.fleet.spare(this.idleMachines(result.held));
+    if (result.leftOut === 0) {
+      this.fleet.spare(this.idleMachines(result.held));
+      this.clearDearMachines(machines, result);
+    }
     if (result.unplaced.size + result.awaiting.size > 0) {
       this.makeRoom(groups, result, machines, teamRoom, victims);
     }
@@ -182,6 +188,27 @@
     return idle;
   }
 
+  /** Stops guests' work on machines beyond the present need that are too dear to be kept up for it. */
+  private clearDearMachines(machines: readonly MachineView[], result: RoundResult): void {
+    const now = this.now();
+    const used = new Set(result.placements.map((p) => p.machine));
+    for (const view of machines) {
+      const m = this.cluster.byIndex[view.machine];
+      if (!m) continue;
+      const needed =
+        !view.parked || used.has(m.index) || result.held.has(m.index) || result.reserved.has(m.index);
+      const tasks = needed || !m.accounted ? null : this.views.idleTasks(m);
+      if (!tasks) {
+        this.guestsOnlySince.delete(m);
+        continue;
+      }
+      const since = this.guestsOnlySince.get(m) ?? now;
+      this.guestsOnlySince.set(m, since);
+      if (now - since < this.deps.options.fleet.idle_s * 1000 || worthKeeping(view.price, tasks)) continue;
+      for (const a of m.live()) this.stopOrderly(a, 'machine too dear for it alone');
+    }
+  }
+
   private makeRoom(
     groups: readonly GroupView[],
     result: RoundResult,
--- a/src/core/views.ts
+++ b/src/core/views.ts
@@ -20,6 +20,7 @@
   type Room,
   type TeamRoom,
 } from '../scheduling/view.ts';
+import type { IdleTask } from '../scheduling/idle-work.ts';
 import { isFailing, judgeMachine } from '../workers/failure-attribution.ts';
 import { shareGuarantees, type GuaranteeLeft } from '../scheduling/urgency.ts';
 import type { JobRequest } from '../wire/user.ts';
@@ -54,8 +55,12 @@
 /** A failing job that has found no room on a present machine for so long may have one rented. */
 const PROBE_RENTS_AFTER_MS = 60_000;
 
-/** While no task of it is placed, work that nobody waits for may cost as much again after each such time. */
-const IDLE_PATIENCE_MS = 120_000;
+/** Work that nobody waits for may cost as much again after each such time. */
+const IDLE_PATIENCE_MS = 600_000;
+/** Time to spare that a job must have beside its whole run time for its tasks to be stopped for their machine's price. */
+const STOPPABLE_SLACK_S = 60;
+/** A task past its estimate is given this part of what it has run. */
+const OUTLIVED_SHARE = 0.3;
 
 /** The share of a machine that belongs to each of its accelerators. */
 function perAccelerator(size: Room): Room | null {
@@ -115,7 +120,7 @@
       else {
         const ranS = a.runningSince === null ? 0 : (now - a.runningSince) / 1000;
         // A task past its estimate has outlived it: it is given a good part of what it has run.
-        inS = Math.max(spec.estimateS - ranS, ranS * 0.3, 3);
+        inS = Math.max(spec.estimateS - ranS, ranS * OUTLIVED_SHARE, 3);
       }
       leaving.push({ inS, room });
     }
@@ -156,11 +161,17 @@
     return { slackS: watched && slackS === Infinity ? -1 : slackS, patienceS, perTask };
   }
 
+  /** Work of the lowest rank of a team without a guarantee. */
+  isGuest(job: Job): boolean {
+    const team = this.deps.teams[job.team]!;
+    return job.spec.priority === 0 && team.cpus === 0 && team.gpus === 0;
+  }
+
   /**
-   * The most that a machine may cost for each task of work that nobody waits for. The bound rises while no task of
-   * the job finds a place, so that it begins at last where nothing cheap can be had.
+   * The most that a machine may cost an hour for each task of work that nobody waits for. The bound rises with the
+   * job's age, so that it begins at last where nothing cheap can be had.
    */
-  private idlePriceMost(job: Job, waitedMs: number): number {
+  private worthOf(job: Job): number {
     const { idle_price_times } = this.deps.options.fleet;
     let least = Infinity;
     for (const type of this.deps.catalog.types) {
@@ -170,7 +181,30 @@
       const price = job.spec.spot ? Math.min(type.price, type.spotPrice) : type.price;
       least = Math.min(least, price / tasks);
     }
-    return least * idle_price_times * (1 + waitedMs / IDLE_PATIENCE_MS);
+    const ageMs = this.deps.host.clock.wall() - job.createdWall;
+    return least * idle_price_times * (1 + Math.max(0, ageMs) / IDLE_PATIENCE_MS);
+  }
+
+  /**
+   * The tasks of a machine that runs nothing but guests' work which can be stopped without being late; else null.
+   */
+  idleTasks(m: Machine): IdleTask[] | null {
+    const now = this.deps.host.clock.now();
+    const tasks: IdleTask[] = [];
+    for (const a of m.attempts.values()) {
+      if (a.released) continue;
+      const { job } = a;
+      if (!job || !this.isGuest(job) || job.spec.gang || a.stopGraceS !== null) return null;
+      if (a.runningSince === null || this.slackOf(job, false).slackS < STOPPABLE_SLACK_S) return null;
+      const ranS = (now - a.runningSince) / 1000;
+      const { checkpointS, saveS, estimateS } = job.spec;
+      tasks.push({
+        worth: this.worthOf(job),
+        remainS: Math.max(estimateS - ranS, ranS * OUTLIVED_SHARE),
+        lossS: checkpointS > 0 ? saveS : ranS,
+      });
+    }
+    return tasks.length > 0 ? tasks : null;
   }
 
   /** Cost steps of a machine that failed tasks of jobs which are not known to fail everywhere. */
@@ -304,8 +338,7 @@
       // One task shows whether the job still fails; of a gang all are needed for that.
       if (probe && !spec.gang) pending = 1;
       const { slackS, patienceS, perTask } = this.slackOf(job, guaranteed.has(job));
-      const team = this.deps.teams[job.team]!;
-      const guest = spec.priority === 0 && team.cpus === 0 && team.gpus === 0;
+      const guest = this.isGuest(job);
       // Nothing is expected of its class at any time.
       const idle = guest && slackS === Infinity;
       const liveByZone = new Map<number, number>();
@@ -334,7 +367,7 @@
         waitedMs: probe ? 0 : starving ? LONGEST_MS + waitedMs : waitedMs,
         probe,
         guest: guest && !starving,
-        rentPriceMost: idle ? this.idlePriceMost(job, waitedMs) : Infinity,
+        rentPriceMost: idle ? this.worthOf(job) : Infinity,
         rents: !probe || now - job.notBefore > PROBE_RENTS_AFTER_MS,
         image: spec.image,
         imageGb: spec.imageGb,
@@ -429,10 +462,11 @@
           gpus: size.gpus - m.free.gpus,
           memory: size.memory - m.free.memory,
         };
+        this.takeGuests(m, used);
         need += shareOf(used, size);
       }
       for (const g of groups) {
-        if ((g.types && !g.types.has(type)) || fits(g.need, size) === 0) continue;
+        if (g.guest || (g.types && !g.types.has(type)) || fits(g.need, size) === 0) continue;
         need += g.pending / fits(g.need, size);
       }
       const active = Math.ceil(need + park_headroom);
@@ -443,6 +477,13 @@
     });
   }
 
+  /** Takes what guests use out of the used room of a machine: they make no machine needed. */
+  private takeGuests(m: MachineView, used: Room): void {
+    for (const a of this.c.byIndex[m.machine]?.attempts.values() ?? []) {
+      if (!a.released && a.job && this.isGuest(a.job)) takeRoom(used, roomOf(a.job.spec));
+    }
+  }
+
   /**
    * Once more the whole room of each machine, for when the tasks that it runs or is about to take have ended:
    * a queue that can wait that long needs no machines of its own.
--- a/src/scheduling/plan.ts
+++ b/src/scheduling/plan.ts
@@ -133,6 +133,8 @@
       if (group.avoid.has(first.machine)) return null;
       const room = group.guest ? groupFits(group, first.free, first.perAccelerator) : each;
       if (room === 0) return null;
+      // An idle machine beyond the present need had better go back than be kept up for it.
+      if (first.parked && first.load === 0 && first.price / room > group.rentPriceMost) return null;
       const count = Math.min(wanted, room * target.views.length);
       return { target, each: room, count, cost: clamp(machineCost(group, first, each, cheapest, options)) };
     }
