Room that comes at about the same time is one entry of a round

Change: room that tasks of a machine leave within a second, or within a tenth of the time until then, is one entry.

--- a/src/core/views.ts
+++ b/src/core/views.ts
@@ -13,6 +13,7 @@
 import {
   fetchTime,
   fits,
+  mergeLeaving,
   roomOf,
   takeRoom,
   type GroupView,
@@ -124,7 +125,7 @@
       }
       leaving.push({ inS, room });
     }
-    return leaving.sort((x, y) => x.inS - y.inS);
+    return mergeLeaving(leaving.sort((x, y) => x.inS - y.inS));
   }
 
   /**
--- a/src/scheduling/view.ts
+++ b/src/scheduling/view.ts
@@ -149,6 +149,30 @@
   free.memory -= need.memory * count;
 }
 
+/** Room to come that is this close in time, in seconds or as a part of the time until then, counts as one. */
+const TOGETHER_S = 1;
+const TOGETHER_SHARE = 0.1;
+
+/**
+ * Room that tasks leave at about the same time as one entry, at the later time; `leaving` is sorted by time. A sweep of
+ * short tasks has dozens on each machine, and each entry costs a round a part of its network.
+ */
+export function mergeLeaving(leaving: MachineView['leaving']): MachineView['leaving'] {
+  const merged: MachineView['leaving'] = [];
+  let startS = -Infinity;
+  for (const { inS, room } of leaving) {
+    const last = merged.at(-1);
+    if (last && inS - startS <= Math.max(TOGETHER_S, startS * TOGETHER_SHARE)) {
+      last.inS = inS;
+      takeRoom(last.room, room, -1);
+      continue;
+    }
+    startS = inS;
+    merged.push({ inS, room: { ...room } });
+  }
+  return merged;
+}
+
 /** Just the amounts of something that has them: a job's need of a task, a machine type's size. */
 export function roomOf({ cpus, gpus, memory }: Room): Room {
   return { cpus, gpus, memory };
--- a/test/scheduling/round.test.ts
+++ b/test/scheduling/round.test.ts
@@ -3,7 +3,7 @@
 import fc from 'fast-check';
 import { runRound, type RoundOptions } from '../../src/scheduling/round.ts';
 import { pickVictims, type VictimView } from '../../src/scheduling/preempt.ts';
-import { takeRoom, type MachineView, type Room } from '../../src/scheduling/view.ts';
+import { mergeLeaving, takeRoom, type MachineView, type Room } from '../../src/scheduling/view.ts';
 import { group, machine, option, SEED } from '../helpers.ts';
 
 const OPTIONS: RoundOptions = {
@@ -451,3 +451,20 @@
   assert.deepEqual(rents([dear]), []);
   assert.deepEqual(rents([dear, cheap]), [1]);
 });
+
+test('room that comes at about the same time is one entry, and none is lost', () => {
+  const room = { cpus: 1, gpus: 0, memory: 2 };
+  const leaving = [3, 3.5, 4, 9, 40, 43, 45, 120].map((inS) => ({ inS, room }));
+  const merged = mergeLeaving(leaving);
+  assert.deepEqual(
+    merged.map((m) => [m.inS, m.room.cpus, m.room.memory]),
+    [
+      [4, 3, 6],
+      [9, 1, 2],
+      [43, 2, 4],
+      [45, 1, 2],
+      [120, 1, 2],
+    ],
+  );
+  assert.deepEqual(room, { cpus: 1, gpus: 0, memory: 2 }, 'what it is given stays as it is');
+});
