--- a/src/config/options.ts
+++ b/src/config/options.ts
@@ -102,7 +102,7 @@
     patience_share: tunable(0.9, 0, 1, 'share', 'part of its spare time that a job waits rather than rent'),
     patience_max_s: tunable(200, 0, 3600, 's', 'longest such wait'),
     idle_price_times: tunable(
-      2,
+      3,
       1,
       1000,
       'times',
