--- a/src/core/rounds.ts
+++ b/src/core/rounds.ts
@@ -1,6 +1,7 @@
 import type { Fleet, IdleMachine } from '../fleet/fleet.ts';
 import type { Job } from '../jobs/job.ts';
 import { pickVictims, type VictimView } from '../scheduling/preempt.ts';
+import { worthKeeping } from '../scheduling/idle-work.ts';
 import { runRound } from '../scheduling/round.ts';
 import {
   roomOf,
@@ -10,7 +11,8 @@
   type RoundResult,
   type TeamRoom,
 } from '../scheduling/view.ts';
-import type { Attempt } from '../workers/machine.ts';
+import { judgeMachine } from '../workers/failure-attribution.ts';
+import type { Attempt, Machine } from '../workers/machine.ts';
 import type { Attempts } from './attempts.ts';
 import type { Cluster } from './cluster.ts';
 import type { LeaderDeps } from './context.ts';
@@ -40,6 +42,8 @@
   private count = 0;
   private mostGroups = FIRST_GROUPS;
   private placingSince = Infinity;
+  /** Machines on which nothing but guests' work runs, and since when. */
+  private readonly guestsOnlySince = new WeakMap<Machine, number>();
 
   constructor(
     private readonly cluster: Cluster,
@@ -163,7 +167,10 @@
       this.deps.host.log.info({ job: job.id, machine: machine.name, tasks: p.count }, 'placed');
     }
     // Whoever was left out may need what is idle now: it was once returned, and rented anew a moment later.
-    if (result.leftOut === 0) this.fleet.spare(this.idleMachines(result.held));
+    if (result.leftOut === 0) {
+      this.fleet.spare(this.idleMachines(result.held));
+      this.clearDearMachines(machines, result);
+    }
     if (result.unplaced.size + result.awaiting.size > 0) {
       this.makeRoom(groups, result, machines, teamRoom, victims);
     }
@@ -176,11 +183,34 @@
     const from = this.placingSince;
     for (const m of this.cluster.machines.values()) {
       if (m.returning || m.liveCount > 0 || !m.accounted || held.has(m.index)) continue;
+      // Not given back on mere suspicion: it is idle only because nothing is placed on it.
+      if (judgeMachine(m.failures, m.index, now) === 'suspected') continue;
       idle.push({ name: m.name, type: m.type, idleMs: now - Math.max(m.idleSince, from) });
     }
     return idle;
   }
 
+  /** Stops guests' work on machines beyond the present need that are too dear to be kept up for it. */
+  private clearDearMachines(machines: readonly MachineView[], result: RoundResult): void {
+    const now = this.now();
+    const used = new Set(result.placements.map((p) => p.machine));
+    for (const view of machines) {
+      const m = this.cluster.byIndex[view.machine];
+      if (!m) continue;
+      const needed =
+        !view.parked || used.has(m.index) || result.held.has(m.index) || result.reserved.has(m.index);
+      const tasks = needed || !m.accounted ? null : this.views.idleTasks(m);
+      if (!tasks) {
+        this.guestsOnlySince.delete(m);
+        continue;
+      }
+      const since = this.guestsOnlySince.get(m) ?? now;
+      this.guestsOnlySince.set(m, since);
+      if (now - since < this.deps.options.fleet.idle_s * 1000 || worthKeeping(view.price, tasks)) continue;
+      for (const a of m.live()) this.stopOrderly(a, 'machine too dear for it alone');
+    }
+  }
+
   private makeRoom(
     groups: readonly GroupView[],
     result: RoundResult,
@@ -191,7 +221,7 @@
     if (!this.deps.options.scheduling.preempt) return;
     const guaranteed = this.views.guaranteedJobs();
     const waitingOf = (g: GroupView): number =>
-      g.only >= 0 ? 0 : (result.unplaced.get(g.job) ?? 0) + (result.awaiting.get(g.job) ?? 0);
+      g.only >= 0 || g.probe ? 0 : (result.unplaced.get(g.job) ?? 0) + (result.awaiting.get(g.job) ?? 0);
     const pressing = groups.filter((g) => waitingOf(g) > 0).sort((a, b) => b.priority - a.priority);
     // A swarm of waiting jobs must not make a round long: the others get their turn in the next.
     for (const group of pressing.slice(0, MOST_MADE_ROOM)) {
@@ -254,7 +284,7 @@
     teamRoom: readonly TeamRoom[],
     victims: Victims,
   ): boolean {
-    if (!group.quick || job.spec.tasks !== 1 || group.only >= 0) return false;
+    if (!group.quick || group.probe || job.spec.tasks !== 1 || group.only >= 0) return false;
     if (!this.deps.options.scheduling.preempt) return false;
     const fetchS = (m: MachineView): number => m.fetchS(group.image, group.imageGb);
     const slackS = group.slackS - SETTLE_S;
--- a/src/core/views.ts
+++ b/src/core/views.ts
@@ -13,6 +13,7 @@
 import {
   fetchTime,
   fits,
+  mergeLeaving,
   roomOf,
   takeRoom,
   type GroupView,
@@ -20,6 +21,8 @@
   type Room,
   type TeamRoom,
 } from '../scheduling/view.ts';
+import type { IdleTask } from '../scheduling/idle-work.ts';
+import { isFailing, judgeMachine } from '../workers/failure-attribution.ts';
 import { shareGuarantees, type GuaranteeLeft } from '../scheduling/urgency.ts';
 import type { JobRequest } from '../wire/user.ts';
 
@@ -51,6 +54,23 @@
 const NO_MACHINES: ReadonlySet<number> = new Set();
 /** Reports that a machine may leave out and still be given work; one may have been overtaken by a direct answer. */
 const MOST_REPORTS_MISSED = 2.5;
+/** Cost steps of a machine for each job that has failed on it. */
+const PENALTY_STEPS = 5;
+/** A failing job that has found no room on a present machine for so long may have one rented. */
+const PROBE_RENTS_AFTER_MS = 60_000;
+
+/** Work that nobody waits for may cost as much again after each such time. */
+const IDLE_PATIENCE_MS = 600_000;
+/** Time to spare that a job must have beside its whole run time for its tasks to be stopped for their machine's price. */
+const STOPPABLE_SLACK_S = 60;
+/** A task past its estimate is given this part of what it has run. */
+const OUTLIVED_SHARE = 0.3;
+
+/** The share of a machine that belongs to each of its accelerators. */
+function perAccelerator(size: Room): Room | null {
+  if (size.gpus === 0) return null;
+  return { cpus: size.cpus / size.gpus, gpus: 1, memory: size.memory / size.gpus };
+}
 
 /** The work that waits, of each job against what the jobs of its class have on average. */
 class MeanWork {
@@ -104,11 +124,11 @@
       else {
         const ranS = a.runningSince === null ? 0 : (now - a.runningSince) / 1000;
         // A task past its estimate has outlived it: it is given a good part of what it has run.
-        inS = Math.max(spec.estimateS - ranS, ranS * 0.3, 3);
+        inS = Math.max(spec.estimateS - ranS, ranS * OUTLIVED_SHARE, 3);
       }
       leaving.push({ inS, room });
     }
-    return leaving.sort((x, y) => x.inS - y.inS);
+    return mergeLeaving(leaving.sort((x, y) => x.inS - y.inS));
   }
 
   /**
@@ -145,6 +165,59 @@
     return { slackS: watched && slackS === Infinity ? -1 : slackS, patienceS, perTask };
   }
 
+  /** Work of the lowest rank of a team without a guarantee. */
+  isGuest(job: Job): boolean {
+    const team = this.deps.teams[job.team]!;
+    return job.spec.priority === 0 && team.cpus === 0 && team.gpus === 0;
+  }
+
+  /**
+   * The most that a machine may cost an hour for each task of work that nobody waits for. The bound rises with the
+   * job's age, so that it begins at last where nothing cheap can be had.
+   */
+  private worthOf(job: Job): number {
+    const { idle_price_times } = this.deps.options.fleet;
+    let least = Infinity;
+    for (const type of this.deps.catalog.types) {
+      if (job.spec.types && !job.spec.types.includes(type.name)) continue;
+      const tasks = fits(job.spec, type);
+      if (tasks === 0) continue;
+      const price = job.spec.spot ? Math.min(type.price, type.spotPrice) : type.price;
+      least = Math.min(least, price / tasks);
+    }
+    const ageMs = this.deps.host.clock.wall() - job.createdWall;
+    return least * idle_price_times * (1 + Math.max(0, ageMs) / IDLE_PATIENCE_MS);
+  }
+
+  /**
+   * The tasks of a machine that runs nothing but guests' work which can be stopped without being late; else null.
+   */
+  idleTasks(m: Machine): IdleTask[] | null {
+    const now = this.deps.host.clock.now();
+    const tasks: IdleTask[] = [];
+    for (const a of m.attempts.values()) {
+      if (a.released) continue;
+      const { job } = a;
+      if (!job || !this.isGuest(job) || job.spec.gang || a.stopGraceS !== null) return null;
+      if (a.runningSince === null || this.slackOf(job, false).slackS < STOPPABLE_SLACK_S) return null;
+      const ranS = (now - a.runningSince) / 1000;
+      const { checkpointS, saveS, estimateS } = job.spec;
+      tasks.push({
+        worth: this.worthOf(job),
+        remainS: Math.max(estimateS - ranS, ranS * OUTLIVED_SHARE),
+        lossS: checkpointS > 0 ? saveS : ranS,
+      });
+    }
+    return tasks.length > 0 ? tasks : null;
+  }
+
+  /** Cost steps of a machine that failed tasks of jobs which are not known to fail everywhere. */
+  private failurePenalty(m: Machine): number {
+    let jobs = 0;
+    for (const job of m.failures.jobs) if (!isFailing(job)) jobs += 1;
+    return jobs * PENALTY_STEPS;
+  }
+
   private warmth(m: Machine): number {
     let warm = 0;
     for (const image of m.images.keys()) if (this.sources.quickImages.has(image)) warm += 1;
@@ -164,7 +237,7 @@
       if (now - m.reportedAt > reportMs * MOST_REPORTS_MISSED) continue;
       // Work must not wait on a machine that may be no more than a late copy of a report, or that hears nothing.
       if (m.token !== this.deps.term || m.unheard > 0) continue;
-      if (m.errors >= 3 && now - m.lastErrorAt < 60_000) continue;
+      if (judgeMachine(m.failures, m.index, now) !== 'healthy') continue;
       const fetchingS = m.fetchingUntil > now ? (m.fetchingUntil - now) / 1000 : 0;
       views.push({
         machine: m.index,
@@ -172,6 +245,7 @@
         zone: m.zone,
         spot: m.id.spot,
         free: this.freeOf(m),
+        perAccelerator: perAccelerator(type),
         leaving: this.leavingOf(m, now),
         load: m.liveCount,
         // Up, but not yet written to the roster: that takes a moment, no new machine.
@@ -184,7 +258,7 @@
         },
         warm: this.warmth(m),
         parked: false,
-        penalty: m.errors * 5,
+        penalty: this.failurePenalty(m),
         price: m.id.spot ? type.spotPrice : type.price,
       });
     }
@@ -197,6 +271,7 @@
         zone: b.zone,
         spot: b.spot,
         free: roomOf(type),
+        perAccelerator: perAccelerator(type),
         leaving: [],
         load: 0,
         bootsInS: Math.max(1, type.bootS - (now - b.rentedAt) / 1000),
@@ -264,14 +339,22 @@
       if (job.ending !== null || job.pendingCount === 0 || now < job.notBefore) continue;
       const able = accounted ? job.pendingCount : job.surelyPending();
       if (able === 0) continue;
-      if (job.spec.gang && (this.c.gangs.has(job) || (this.c.liveOf.get(job)?.size ?? 0) > 0)) continue;
+      const live = this.c.liveOf.get(job)?.size ?? 0;
+      if (job.spec.gang && (this.c.gangs.has(job) || live > 0)) continue;
+      const probe = isFailing(job.failures);
+      if (probe && live > 0) continue;
       const spec = job.spec;
       const waitedMs = now - job.waitingSince;
       // Under a backlog who is late soonest goes first, whoever comes: nothing bounds the wait for a first task. A few
       // first tasks go before everything else of their rank; the rest takes its turn.
       const starving = !spec.gang && job.untouched && waitedMs > scheduling.begin_after_s * 1000;
-      const pending = starving ? Math.min(able, FIRST_TASKS) : able;
+      let pending = starving ? Math.min(able, FIRST_TASKS) : able;
+      // One task shows whether the job still fails; of a gang all are needed for that.
+      if (probe && !spec.gang) pending = 1;
       const { slackS, patienceS, perTask } = this.slackOf(job, guaranteed.has(job));
+      const guest = this.isGuest(job);
+      // Nothing is expected of its class at any time.
+      const idle = guest && slackS === Infinity;
       const liveByZone = new Map<number, number>();
       if (spec.oneZone || spec.spread) {
         for (const a of this.c.liveOf.get(job) ?? []) {
@@ -295,7 +378,11 @@
         liveByZone,
         quick: this.sources.forecast.watches(spec.className),
         expected: false,
-        waitedMs: starving ? LONGEST_MS + waitedMs : waitedMs,
+        waitedMs: probe ? 0 : starving ? LONGEST_MS + waitedMs : waitedMs,
+        probe,
+        guest: guest && !starving,
+        rentPriceMost: idle ? this.worthOf(job) : Infinity,
+        rents: !probe || now - job.notBefore > PROBE_RENTS_AFTER_MS,
         image: spec.image,
         imageGb: spec.imageGb,
         avoid: job.avoid,
@@ -354,6 +441,10 @@
       quick: true,
       expected: true,
       waitedMs: 0,
+      probe: false,
+      rents: true,
+      guest: false,
+      rentPriceMost: Infinity,
       image: e.like.image,
       imageGb: 0,
       avoid: new Set(),
@@ -387,10 +478,11 @@
           gpus: size.gpus - m.free.gpus,
           memory: size.memory - m.free.memory,
         };
+        this.takeGuests(m, used);
         need += shareOf(used, size);
       }
       for (const g of groups) {
-        if ((g.types && !g.types.has(type)) || fits(g.need, size) === 0) continue;
+        if (g.guest || (g.types && !g.types.has(type)) || fits(g.need, size) === 0) continue;
         need += g.pending / fits(g.need, size);
       }
       const active = Math.ceil(need + park_headroom);
@@ -401,6 +493,13 @@
     });
   }
 
+  /** Takes what guests use out of the used room of a machine: they make no machine needed. */
+  private takeGuests(m: MachineView, used: Room): void {
+    for (const a of this.c.byIndex[m.machine]?.attempts.values() ?? []) {
+      if (!a.released && a.job && this.isGuest(a.job)) takeRoom(used, roomOf(a.job.spec));
+    }
+  }
+
   /**
    * Once more the whole room of each machine, for when the tasks that it runs or is about to take have ended:
    * a queue that can wait that long needs no machines of its own.
--- a/src/scheduling/view.ts
+++ b/src/scheduling/view.ts
@@ -30,6 +30,14 @@
   /** Tasks that are only expected: they hold room and rent, but nothing is placed for them. */
   expected: boolean;
   waitedMs: number;
+  /** A further attempt of a job that has failed everywhere: nothing is stopped or kept free for it. */
+  probe: boolean;
+  /** Machines may be rented for it. */
+  rents: boolean;
+  /** Work of the lowest rank of a team without a guarantee: it leaves each free accelerator its share of a machine. */
+  guest: boolean;
+  /** Greatest hourly price per task at which a machine is rented for it. */
+  rentPriceMost: number;
   image: string;
   imageGb: number;
   avoid: ReadonlySet<number>;
@@ -53,6 +61,8 @@
   zone: number;
   spot: boolean;
   free: Room;
+  /** Room of the machine for each of its accelerators; null: it has none. */
+  perAccelerator: Room | null;
   /** Room that running tasks are expected to leave, soonest first; each entry adds to those before. */
   leaving: { inS: number; room: Room }[];
   /** Tasks on it. */
@@ -122,12 +132,49 @@
   return count === Infinity ? 1000 : Math.max(0, Math.floor(count));
 }
 
+/** How many of a group's tasks fit into the free room of a machine. */
+export function groupFits(
+  group: { need: Room; guest: boolean },
+  free: Room,
+  perAccelerator: Room | null,
+): number {
+  if (!group.guest || perAccelerator === null || group.need.gpus > 0) return fits(group.need, free);
+  // Guests that filled the processors beside idle accelerators had to be stopped for each task that needs one.
+  const left = { ...free };
+  takeRoom(left, { ...perAccelerator, gpus: 0 }, Math.max(0, free.gpus));
+  return fits(group.need, left);
+}
+
 export function takeRoom(free: Room, need: Room, count = 1): void {
   free.cpus -= need.cpus * count;
   free.gpus -= need.gpus * count;
   free.memory -= need.memory * count;
 }
 
+/** Room to come that is this close in time, in seconds or as a part of the time until then, counts as one. */
+const TOGETHER_S = 1;
+const TOGETHER_SHARE = 0.1;
+
+/**
+ * Room that tasks leave at about the same time as one entry, at the later time; `leaving` is sorted by time. A sweep of
+ * short tasks has dozens on each machine, and each entry costs a round a part of its network.
+ */
+export function mergeLeaving(leaving: MachineView['leaving']): MachineView['leaving'] {
+  const merged: MachineView['leaving'] = [];
+  let startS = -Infinity;
+  for (const { inS, room } of leaving) {
+    const last = merged.at(-1);
+    if (last && inS - startS <= Math.max(TOGETHER_S, startS * TOGETHER_SHARE)) {
+      last.inS = inS;
+      takeRoom(last.room, room, -1);
+      continue;
+    }
+    startS = inS;
+    merged.push({ inS, room: { ...room } });
+  }
+  return merged;
+}
+
 /** Just the amounts of something that has them: a job's need of a task, a machine type's size. */
 export function roomOf({ cpus, gpus, memory }: Room): Room {
   return { cpus, gpus, memory };
--- a/src/sim/cloud.ts
+++ b/src/sim/cloud.ts
@@ -91,8 +91,8 @@
   }
 
   /** A machine that is up from the start; no controller has rented it. */
-  addRunning(type: MachineType, zone: string, spot: boolean): void {
-    this.add(type, zone, spot, 0);
+  addRunning(type: MachineType, zone: string, spot: boolean): string {
+    return this.add(type, zone, spot, 0);
   }
 
   /** The machine has ended by itself or was taken. */
--- a/src/sim/emulator.ts
+++ b/src/sim/emulator.ts
@@ -24,7 +24,7 @@
   settings: Settings['settings'];
   types: MachineType[];
   /** Machines that run from the beginning, though no controller has rented them. */
-  machines: { type: string; zone: string; spot: boolean }[];
+  machines: { type: string; zone: string; spot: boolean; faulty?: boolean }[];
   /** Machines there can be at once. */
   capacity: number;
   /** Troubles of every day: shares of transactions, rentals and machines. */
@@ -35,6 +35,8 @@
 /** What came of a day. */
 export interface Day {
   events: SimEvent[];
+  /** Names of the machines that fail every task. */
+  faultyMachines: ReadonlySet<string>;
   /** From here on all troubles are over. */
   calmAtMs: number;
   endMs: number;
@@ -71,6 +73,7 @@
   private lateReports = { untilMs: 0, share: 0, forNext: false };
   private kept: ReportBody[] = [];
   private calmAtMs = 0;
+  private readonly faultyMachines = new Set<string>();
 
   constructor(
     private readonly scenario: Scenario,
@@ -124,6 +127,8 @@
       workers: this.workers,
       jobOf: (uid) => this.users.jobOf(uid),
       results: new Set(),
+      mistakenJobs: new Set(scenario.jobs.filter((job) => job.mistaken).map((job) => job.body.uid)),
+      faultyMachines: this.faultyMachines,
       onReport: (report) => {
         this.keepCopy(report);
       },
@@ -179,12 +184,13 @@
         node.start();
       });
     }
-    for (const { type, zone, spot } of scenario.machines) {
-      this.cloud.addRunning(
+    for (const { type, zone, spot, faulty } of scenario.machines) {
+      const name = this.cloud.addRunning(
         scenario.types.find((t) => t.name === type)!,
         zone,
         spot,
       );
+      if (faulty) this.faultyMachines.add(name);
     }
     for (const job of scenario.jobs) this.users.plan(job);
     for (const fault of scenario.faults) {
@@ -197,7 +203,8 @@
     const endMs = scenario.endS * 1000;
     await queue.run(endMs);
     const { changesAsked: changesWritten } = this.state;
-    return { events: this.log.events, calmAtMs: this.calmAtMs, endMs, changesWritten };
+    const { log, calmAtMs, faultyMachines } = this;
+    return { events: log.events, faultyMachines, calmAtMs, endMs, changesWritten };
   }
 
   // ---- what happens ----
--- a/src/sim/users.ts
+++ b/src/sim/users.ts
@@ -13,6 +13,8 @@
   body: JobBody;
   /** When its user cancels it. */
   cancelAtS?: number;
+  /** Submitted with a mistake: its tasks fail on every machine. */
+  mistaken?: boolean;
   /** Fields that are left out or overwritten on the way, for bad submissions. */
   broken?: Record<string, unknown>;
   expected?: Expected;
--- a/src/sim/worker.ts
+++ b/src/sim/worker.ts
@@ -23,6 +23,9 @@
   gang_peer_s: number;
 }
 
+/** A task that fails does so this long after it has begun to run. */
+const TIME_TO_ERROR_MS = 1000;
+
 /** What all workers of a day share. */
 export interface WorkerWorld {
   queue: EventQueue;
@@ -37,6 +40,10 @@
   jobOf(uid: string): JobBody | undefined;
   /** Results of tasks that completed, by task name. */
   results: Set<string>;
+  /** Jobs that were submitted with a mistake: their tasks fail on every machine. */
+  mistakenJobs: ReadonlySet<string>;
+  /** Machines on which every task fails. */
+  faultyMachines: ReadonlySet<string>;
   /** A report leaves a worker; troubles may keep copies of it. */
   onReport(report: ReportBody): void;
   onTaskDone(uid: string, task: number): void;
@@ -434,6 +441,12 @@
   private run(task: Task): void {
     task.stage = 'running';
     this.noteChange();
+    if (this.world.mistakenJobs.has(task.job.uid) || this.world.faultyMachines.has(this.name)) {
+      this.later(task, TIME_TO_ERROR_MS, () => {
+        this.end(task, 'error');
+      });
+      return;
+    }
     const { random, limits } = this.world;
     const runMs = task.job.bakeS * 1000 * random.between(RUN_TIME.least, RUN_TIME.most);
     this.later(task, runMs, () => {
--- a/test/sim/days.ts
+++ b/test/sim/days.ts
@@ -55,6 +55,8 @@
   runS: number;
   /** So long after its submission its user cancels it; 0: never. */
   cancelS: number;
+  /** Submitted with a mistake: it fails on every machine. */
+  mistaken?: boolean;
 }
 
 export function job(index: number, sketch: JobSketch): PlannedJob {
@@ -75,7 +77,7 @@
     ...SHAPES[sketch.shape % SHAPES.length]!,
   };
   const cancelAtS = sketch.cancelS > 0 ? { cancelAtS: sketch.atS + sketch.cancelS } : {};
-  return { atS: sketch.atS, body, ...cancelAtS };
+  return { atS: sketch.atS, body, mistaken: sketch.mistaken ?? false, ...cancelAtS };
 }
 
 export interface DaySketch {
@@ -86,6 +88,8 @@
   capacity?: number;
   /** Machines of each zone that run from the beginning; two if not given. */
   machinesPerZone?: number;
+  /** Positions of machines that fail whatever they run. */
+  faulty?: number[];
   always?: Partial<Scenario['always']>;
   teams?: (typeof SETTINGS)['settings']['teams'];
 }
@@ -115,13 +119,15 @@
     jobs: sketch.jobs.map((j, i) => job(i, j)),
     settings,
     types: TYPES,
-    machines: ['a', 'b'].flatMap((zone) =>
-      Array.from({ length: sketch.machinesPerZone ?? 2 }, (_, i) => ({
-        type: i % 2 ? 'small' : 'big',
-        zone,
-        spot: false,
-      })),
-    ),
+    machines: ['a', 'b']
+      .flatMap((zone) =>
+        Array.from({ length: sketch.machinesPerZone ?? 2 }, (_, i) => ({
+          type: i % 2 ? 'small' : 'big',
+          zone,
+          spot: false,
+        })),
+      )
+      .map((machine, at) => ({ ...machine, faulty: sketch.faulty?.includes(at) ?? false })),
     capacity: sketch.capacity ?? 14,
     always: { ...QUIET, ...sketch.always },
   };
