A controller that is stopped while it stands leads no more

Cause: Election.stop() in the middle of a stand let it win afterwards; its work went on in a process that nobody could end, as a test process did once in some 25 runs. Change: a stopped election revokes the lease it was given, and a stopped controller has no current leadership.

--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -358,7 +358,7 @@
   }
 
   private isCurrent(held: Leadership): boolean {
-    return this.election.current() === held;
+    return !this.stopped && this.election.current() === held;
   }
 
   /** Ends this leadership; a word that comes late must not end a newer one of the same node. */
--- a/src/leadership/election.ts
+++ b/src/leadership/election.ts
@@ -308,7 +308,8 @@
       ],
       'lease',
     );
-    if (result.kind !== 'ok') {
+    // A node that was stopped meanwhile must not lead: nobody would end that leadership.
+    if (result.kind !== 'ok' || this.stopped) {
       await this.store.revoke(lease.value);
       return this.pause(30);
     }
