--- a/src/core/intern.ts
+++ b/src/core/intern.ts
@@ -1,4 +1,4 @@
-/** Maps names to dense indices at the door; inside, everything is an index. */
+/** Maps names to dense indices at the boundary; inside, everything is an index. */
 export class Intern {
   private readonly byName = new Map<string, number>();
   private readonly names: string[] = [];
--- a/src/http/connections.ts
+++ b/src/http/connections.ts
@@ -2,18 +2,18 @@
 export type Peer = 'unknown' | 'worker' | 'user';
 
 export interface SocketShares {
-  /** Connections that may be open to the door at once; more are closed as they come. */
+  /** Connections that may be open to the HTTP server at once; more are closed as they come. */
   inbound: number;
   /** From so many on, a worker's connection is closed with the answer to its report. */
   crowded: number;
 }
 
-/** Sockets that the node needs beside the door and orders: state service, cloud, other controllers. */
+/** Sockets that the node needs beside the HTTP server and commands to workers: state service, cloud, other controllers. */
 const OTHERS = 64;
 const CROWDED = 0.85;
 
 /**
- * Shares out a node's sockets. The door has what outgoing calls leave. Workers keep theirs open while there is
+ * Shares out a node's sockets. The HTTP server has what outgoing calls leave. Workers keep theirs open while there is
  * room; the last part is for users, health checks and workers that connect anew.
  */
 export function socketShares(sockets: number, orders: number): SocketShares {
@@ -28,7 +28,7 @@
 }
 
 /**
- * The open connections of the door, and which of them to close. Machines that end or are cut off never close
+ * The open connections of the HTTP server, and which of them to close. Machines that end or are cut off never close
  * theirs: over a day of a thousand machines such connections took all sockets of a node, and healthy workers, users
  * and health checks could not connect any more.
  */
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -51,7 +51,7 @@
 }
 
 /**
- * The door for users, workers and health checks. Connections stay open until one side closes them: the other, or
+ * The HTTP server for users, workers and health checks. Connections stay open until one side closes them: the other, or
  * this one where sockets get short or nothing was heard for long.
  */
 export class Door {
--- a/src/jobs/door.ts
+++ b/src/jobs/door.ts
@@ -20,7 +20,7 @@
 import { isFinal, unlessOvertaken, type Finding, type LeaderView } from './knowledge.ts';
 import { finalValue, openValue, readFinal, readOpen } from './records.ts';
 
-/** What the door needs of the leadership on this node, if there is one. */
+/** What user requests need of the leadership on this node, if there is one. */
 export interface LocalLeader {
   readonly term: number;
   view(id: string): LeaderView;
--- a/test/http/connections.test.ts
+++ b/test/http/connections.test.ts
@@ -43,7 +43,7 @@
             if (w % 50 === 0) ask(100_000 + (w % users), 'user');
           }
         }
-        assert.equal(refused, 0, 'nobody finds the door closed');
+        assert.equal(refused, 0, 'nobody is refused');
         assert.ok(connections.open <= shares.crowded + users);
       },
     ),
--- a/test/http/server.test.ts
+++ b/test/http/server.test.ts
@@ -3,7 +3,7 @@
 import test from 'node:test';
 import { Door } from '../../src/http/server.ts';
 
-/** A real door on a port that the system chooses. */
+/** A real server on a port that the system chooses. */
 async function openDoor(inbound: number, crowded: number): Promise<Door> {
   const door = new Door(
     (_request, reply) => {
