--- a/src/core/owner.ts
+++ b/src/base/command-queue.ts
@@ -2,7 +2,7 @@
  * The one owner of all state: commands queue up and are worked through in batches. Whatever comes out of a
  * batch (answers, orders, writes) leaves after it, so that one round serves everything that arrived together.
  */
-export class Owner {
+export class CommandQueue {
   private queue: (() => void)[] = [];
   private scheduled = false;
   private running = false;
--- a/src/core/lag.ts
+++ b/src/base/event-loop-lag.ts
@@ -6,7 +6,7 @@
  * node that has more to do than it can, everything that can wait has to: reports that are answered too late come
  * again, and a leader that went on with its rounds once lost all its workers' leases that way.
  */
-export class Lag {
+export class EventLoopLag {
   private lastAt: number;
   private mean = 0;
 
--- a/src/core/intern.ts
+++ b/src/base/name-index.ts
@@ -1,5 +1,5 @@
 /** Maps names to dense indices at the boundary; inside, everything is an index. */
-export class Intern {
+export class NameIndex {
   private readonly byName = new Map<string, number>();
   private readonly names: string[] = [];
 
--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -1,8 +1,8 @@
 import { Command, CommanderError } from 'commander';
 import { ConfigError, loadSettings } from '../config/settings.ts';
 import { loadOptions, TUNABLES } from '../config/options.ts';
-import { makeLogger } from '../core/log.ts';
-import { Service } from '../core/service.ts';
+import { makeLogger } from '../base/log.ts';
+import { Service } from '../controller/service.ts';
 
 export const VERSION = '0.1.0';
 
--- a/src/core/controller.ts
+++ b/src/controller/controller.ts
@@ -4,7 +4,7 @@
 import { CloudClient } from '../fleet/cloud.ts';
 import { AdaptiveLimit, USER_SLACK_MS, WORKER_SLACK_MS } from '../http/limit.ts';
 import { failure, type Answer, type HttpRequest, type Reply } from '../http/server.ts';
-import { UserDoor, type LocalLeader } from '../jobs/door.ts';
+import { UserRequests, type LocalLeader } from '../jobs/user-requests.ts';
 import { EndWrites } from '../jobs/end-writes.ts';
 import { FinalCache } from '../jobs/finals.ts';
 import type { TeamLimits } from '../jobs/admission.ts';
@@ -14,7 +14,7 @@
 import { SharedReads } from '../jobs/shared-reads.ts';
 import type { MeshReply, MeshRequest, PollAnswer } from '../mesh/frames.ts';
 import { askAny } from '../mesh/ask.ts';
-import { Reach } from '../mesh/reach.ts';
+import { Connectivity } from '../mesh/connectivity.ts';
 import { LEADER_WRITES, RateBudget, submissionsPerSecond } from '../store/budget.ts';
 import { moreUrgent, StoreClient, type StoreResult, type Urgency } from '../store/client.ts';
 import { KEYS } from '../store/keys.ts';
@@ -22,12 +22,12 @@
 import type { Item } from '../wire/state.ts';
 import { decodeReport, encodeReportAnswer, encodeReportTo } from '../wire/worker.ts';
 import { WorkerClient } from '../workers/client.ts';
-import type { Clock } from './clock.ts';
-import { Intern } from './intern.ts';
-import { Leader } from './leader.ts';
-import { Lag } from './lag.ts';
-import type { Logger } from './log.ts';
-import { Owner } from './owner.ts';
+import type { Clock } from '../base/clock.ts';
+import { NameIndex } from '../base/name-index.ts';
+import { Leader } from '../leader/leader.ts';
+import { EventLoopLag } from '../base/event-loop-lag.ts';
+import type { Logger } from '../base/log.ts';
+import { CommandQueue } from '../base/command-queue.ts';
 import type { Platform } from './platform.ts';
 import { Routes } from './routes.ts';
 
@@ -54,15 +54,15 @@
  */
 export class Controller {
   private readonly clock: Clock;
-  private readonly lag: Lag;
-  private readonly owner: Owner;
+  private readonly lag: EventLoopLag;
+  private readonly owner: CommandQueue;
   private readonly store: StoreClient;
   private readonly cloud: CloudClient;
   private readonly workers: WorkerClient;
-  private readonly door: UserDoor;
+  private readonly userRequests: UserRequests;
   private readonly election: Election;
   private readonly finals: FinalCache;
-  private readonly reach: Reach;
+  private readonly reach: Connectivity;
   private readonly reads: SharedReads<StoreResult<Item | null>, Urgency>;
   private readonly polls: PollBatcher;
   private othersFailedAt = -Infinity;
@@ -70,7 +70,7 @@
   /** When a worker last tried to report here. */
   private reportedAt = -Infinity;
   private readonly teams: TeamLimits[];
-  private readonly zones: Intern;
+  private readonly zones: NameIndex;
   private readonly routes: Routes;
   private readonly graceMs: number;
   private catalog: Catalog | null = null;
@@ -85,10 +85,10 @@
     private readonly platform: Platform,
   ) {
     this.clock = platform.clock;
-    this.lag = new Lag(TICK_MS, () => this.clock.now());
+    this.lag = new EventLoopLag(TICK_MS, () => this.clock.now());
     const now = (): number => this.clock.now();
     const { state, cloud, workers, teams, zones } = settings.settings;
-    this.owner = new Owner(
+    this.owner = new CommandQueue(
       () => this.leader?.afterBatch(),
       (error) => {
         log.error(
@@ -122,7 +122,7 @@
       cpusMax: t.cpus_max,
       gpusMax: t.gpus_max,
     }));
-    this.zones = new Intern(zones);
+    this.zones = new NameIndex(zones);
     const times = { cancelS: workers.cancel_s, leaseS: workers.lease_s };
     this.graceMs = reportGraceMs(options.leadership.grace_s, times);
     if (!cancellationCanHold(times)) {
@@ -142,7 +142,7 @@
       moreUrgent,
     });
     this.polls = new PollBatcher({ now, after, send: (jobIds) => this.sendPolls(jobIds) });
-    this.door = new UserDoor({
+    this.userRequests = new UserRequests({
       clock: this.clock,
       options,
       store: {
@@ -160,7 +160,7 @@
         request.kind === 'poll' ? this.polls.ask(request.jobId) : this.askLeader(request, timeoutMs),
       askOthers: (request, timeoutMs) => this.askOthers(request, timeoutMs),
     });
-    this.reach = new Reach({
+    this.reach = new Connectivity({
       clock: this.clock,
       storeServedAt: () => this.store.servedAt,
       askStore: () => this.store.get(KEYS.term, 'background'),
@@ -204,7 +204,7 @@
     const most = Math.max(workers_min, Math.min(workers_max, sockets));
     this.routes = new Routes({
       options,
-      door: this.door,
+      userRequests: this.userRequests,
       userLimit: limit(64, users_min, users_max, USER_SLACK_MS),
       pollLimit: limit(64, polls_min, polls_max, USER_SLACK_MS),
       workerLimit: limit(most, workers_min, most, WORKER_SLACK_MS),
@@ -263,7 +263,7 @@
         return;
       }
       if (request.kind !== 'promise') {
-        this.door.onMesh(request, reply);
+        this.userRequests.onMesh(request, reply);
         return;
       }
       void this.election.promise(request).then((given) => {
@@ -344,7 +344,7 @@
 
   private answerPolls(jobIds: readonly string[]): PollAnswer[] {
     return answerBatch(jobIds, (jobId, reply) => {
-      this.door.onMesh({ kind: 'poll', jobId }, (answer) => {
+      this.userRequests.onMesh({ kind: 'poll', jobId }, (answer) => {
         reply(answer.kind === 'status' || answer.kind === 'unknown' ? answer : { kind: 'unable' });
       });
     });
--- a/src/core/platform.ts
+++ b/src/controller/platform.ts
@@ -1,6 +1,6 @@
 import type { HttpSender } from '../http/client.ts';
 import type { Peers } from '../mesh/ask.ts';
-import type { Clock } from './clock.ts';
+import type { Clock } from '../base/clock.ts';
 
 /** Pauses and turns of the process. */
 export interface Timers {
--- a/src/core/routes.ts
+++ b/src/controller/routes.ts
@@ -1,7 +1,7 @@
 import type { Options } from '../config/options.ts';
 import type { AdaptiveLimit } from '../http/limit.ts';
 import { failure, type Answer, type HttpRequest, type Reply } from '../http/server.ts';
-import type { UserDoor } from '../jobs/door.ts';
+import type { UserRequests } from '../jobs/user-requests.ts';
 
 const REPORT_PATH = '/checkin';
 const JOB_PATH = /^\/work\/([^/]+)$/;
@@ -9,7 +9,7 @@
 
 export interface RouteDeps {
   options: Options;
-  door: UserDoor;
+  userRequests: UserRequests;
   /** Submissions and cancellations in progress. */
   userLimit: AdaptiveLimit;
   /** Polls that wait for the leader or the state service. */
@@ -29,7 +29,7 @@
 
   route(request: HttpRequest, reply: Reply): void {
     const { method, path } = request;
-    const { door, userLimit, workerLimit } = this.deps;
+    const { userRequests, userLimit, workerLimit } = this.deps;
     if (path === REPORT_PATH) {
       if (method !== 'POST') reply(failure(405, 'use POST'));
       else this.limited(workerLimit, reply, (r) => this.deps.onReport(request.body, r));
@@ -41,7 +41,7 @@
     }
     if (path === '/work') {
       if (method !== 'POST') reply(failure(405, 'use POST'));
-      else this.limited(userLimit, reply, (r) => door.submit(request.body, r));
+      else this.limited(userLimit, reply, (r) => userRequests.submit(request.body, r));
       return;
     }
     const job = JOB_PATH.exec(path);
@@ -53,7 +53,7 @@
     const cancel = CANCEL_PATH.exec(path);
     if (cancel) {
       if (method !== 'POST') reply(failure(405, 'use POST'));
-      else this.limited(userLimit, reply, (r) => door.cancel(cancel[1]!, r));
+      else this.limited(userLimit, reply, (r) => userRequests.cancel(cancel[1]!, r));
       return;
     }
     reply(failure(404, 'no such path'));
@@ -64,8 +64,8 @@
    * nothing, so it needs no turn of the owner's. Over the limit of those that wait a poll is refused at once.
    */
   private poll(id: string, reply: Reply): void {
-    const { door, pollLimit } = this.deps;
-    const known = door.pollFromMemory(id);
+    const { userRequests, pollLimit } = this.deps;
+    const known = userRequests.pollFromMemory(id);
     if (known) {
       reply(known);
       return;
@@ -75,7 +75,7 @@
       reply(this.tooMany());
       return;
     }
-    door.poll(id, (answer) => {
+    userRequests.poll(id, (answer) => {
       leave();
       reply(answer);
     });
--- a/src/core/service.ts
+++ b/src/controller/service.ts
@@ -3,14 +3,14 @@
 import type { Settings } from '../config/settings.ts';
 import { HttpClient, passingAgent } from '../http/client.ts';
 import { socketShares } from '../http/connections.ts';
-import { Door } from '../http/server.ts';
+import { HttpServer } from '../http/server.ts';
 import { Mesh } from '../mesh/mesh.ts';
-import { systemClock } from './clock.ts';
+import { systemClock } from '../base/clock.ts';
 import { Controller, orderSockets } from './controller.ts';
-import type { Logger } from './log.ts';
+import type { Logger } from '../base/log.ts';
 import type { Network, Timers } from './platform.ts';
 import { peerOf } from './routes.ts';
-import { WarmUp } from './warmup.ts';
+import { WarmUp } from './warm-up.ts';
 
 /** Practice while following: short pieces with long pauses, so that users and health checks don't notice. */
 const WARM_UP_TURNS = 60;
@@ -51,7 +51,7 @@
 /** A controller as a process: on real sockets, real time and real random numbers. */
 export class Service {
   private readonly mesh: Mesh;
-  private readonly server: Door;
+  private readonly server: HttpServer;
   private readonly controller: Controller;
   private running = false;
 
@@ -69,7 +69,7 @@
       },
       log,
     );
-    this.server = new Door(
+    this.server = new HttpServer(
       (request, reply) => {
         this.controller.handle(request, reply);
       },
--- a/src/fleet/catalog.ts
+++ b/src/fleet/catalog.ts
@@ -1,13 +1,13 @@
 import * as z from 'zod/mini';
 import type { MachineTypeInfo } from '../wire/cloud.ts';
-import { Intern } from '../core/intern.ts';
+import { NameIndex } from '../base/name-index.ts';
 
 /** The machine types that can be rented, by dense index. Types of unexpected machines are unknown (-1). */
 export class Catalog {
-  readonly names: Intern;
+  readonly names: NameIndex;
 
   constructor(readonly types: readonly MachineTypeInfo[]) {
-    this.names = new Intern(types.map((t) => t.name));
+    this.names = new NameIndex(types.map((t) => t.name));
   }
 
   typeIndex(name: string): number {
--- a/src/fleet/cloud.ts
+++ b/src/fleet/cloud.ts
@@ -1,4 +1,4 @@
-import type { Logger } from '../core/log.ts';
+import type { Logger } from '../base/log.ts';
 import type { HttpSender } from '../http/client.ts';
 import { RateBudget } from '../store/budget.ts';
 import * as wire from '../wire/cloud.ts';
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -1,6 +1,6 @@
-import type { Clock } from '../core/clock.ts';
-import type { Intern } from '../core/intern.ts';
-import type { Logger } from '../core/log.ts';
+import type { Clock } from '../base/clock.ts';
+import type { NameIndex } from '../base/name-index.ts';
+import type { Logger } from '../base/log.ts';
 import type { Options } from '../config/options.ts';
 import { roomOf, type OptionView } from '../scheduling/view.ts';
 import type { Catalog } from './catalog.ts';
@@ -11,7 +11,7 @@
   log: Logger;
   cloud: Cloud;
   catalog: Catalog;
-  zones: Intern;
+  zones: NameIndex;
   options: Options;
   term: number;
   /** Nothing is asked of the cloud without it: another controller may lead by now, and own the machines. */
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -41,7 +41,7 @@
   res.end(answer.body);
 }
 
-export interface DoorOptions {
+export interface HttpServerOptions {
   sockets: SocketShares;
   /** How long a connection of each kind may be silent. */
   idleMs: Record<Peer, number>;
@@ -54,7 +54,7 @@
  * The HTTP server for users, workers and health checks. Connections stay open until one side closes them: the other, or
  * this one where sockets get short or nothing was heard for long.
  */
-export class Door {
+export class HttpServer {
   private readonly http = createHttp({ keepAliveTimeout: 0 }, (req, res) => {
     this.receive(req, res);
   });
@@ -68,7 +68,7 @@
 
   constructor(
     private readonly handler: Handler,
-    private readonly options: DoorOptions,
+    private readonly options: HttpServerOptions,
   ) {
     this.connections = new Connections(options.now, options.sockets.crowded, options.idleMs);
     this.backlog = new Backlog(options.now, STALE_MS);
--- a/src/jobs/door.ts
+++ b/src/jobs/user-requests.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '../core/clock.ts';
+import type { Clock } from '../base/clock.ts';
 import type { Options } from '../config/options.ts';
 import type { Catalog } from '../fleet/catalog.ts';
 import { failure, type Answer, type Reply } from '../http/server.ts';
@@ -29,7 +29,7 @@
   created(id: string, value: unknown): void;
 }
 
-export interface DoorDeps {
+export interface UserRequestDeps {
   clock: Clock;
   options: Options;
   store: Pick<StoreClient, 'get' | 'txn'>;
@@ -62,8 +62,8 @@
  * and durable, or certain in the memory of a leader that surely leads, or read from the store after the request came
  * in: so no answer is older than one that any controller gave before the request. docs/safety.md lists every path.
  */
-export class UserDoor {
-  constructor(private readonly deps: DoorDeps) {}
+export class UserRequests {
+  constructor(private readonly deps: UserRequestDeps) {}
 
   private busy(reason: string): Answer {
     return failure(503, reason, this.deps.options.users.retry_after_s);
--- a/src/core/attempts.ts
+++ b/src/leader/attempts.ts
@@ -7,7 +7,7 @@
 import type { WorkerEvent } from '../workers/reconcile.ts';
 import type { Cluster } from './cluster.ts';
 import type { LeaderDeps } from './context.ts';
-import type { Endings } from './endings.ts';
+import type { Completion } from './completion.ts';
 import type { Gangs } from './gangs.ts';
 
 const ATTEMPTS_PER_TERM = 2 ** 24;
@@ -20,7 +20,7 @@
   constructor(
     private readonly cluster: Cluster,
     private readonly gangs: Gangs,
-    private readonly endings: Endings,
+    private readonly endings: Completion,
     private readonly begun: BegunNotes,
     private readonly deps: LeaderDeps,
   ) {}
--- a/src/core/endings.ts
+++ b/src/leader/completion.ts
@@ -7,7 +7,7 @@
 import type { LeaderDeps } from './context.ts';
 
 /** Finished tasks and jobs that end, on their way into the store. */
-export class Endings {
+export class Completion {
   private flushDueAt = Infinity;
   private lastFlushAt = -Infinity;
   private readonly dirtyJobs = new Set<Job>();
--- a/src/core/context.ts
+++ b/src/leader/context.ts
@@ -1,6 +1,6 @@
-import type { Clock } from './clock.ts';
-import type { Intern } from './intern.ts';
-import type { Logger } from './log.ts';
+import type { Clock } from '../base/clock.ts';
+import type { NameIndex } from '../base/name-index.ts';
+import type { Logger } from '../base/log.ts';
 import type { Settings } from '../config/settings.ts';
 import type { Options } from '../config/options.ts';
 import type { Catalog } from '../fleet/catalog.ts';
@@ -42,7 +42,7 @@
   settings: Settings;
   options: Options;
   teams: readonly TeamLimits[];
-  zones: Intern;
+  zones: NameIndex;
   catalog: Catalog;
   cloud: Cloud;
   writer: LeaderWriter;
--- a/src/core/gangs.ts
+++ b/src/leader/gangs.ts
@@ -1,7 +1,7 @@
 import type { Job } from '../jobs/job.ts';
 import type { Attempt } from '../workers/machine.ts';
 import type { Cluster, Gang } from './cluster.ts';
-import type { Logger } from './log.ts';
+import type { Logger } from '../base/log.ts';
 
 /** The tasks of a gang run together under one attempt number, and end together. */
 export class Gangs {
--- a/src/core/leader.ts
+++ b/src/leader/leader.ts
@@ -1,13 +1,13 @@
-import type { Logger } from './log.ts';
+import type { Logger } from '../base/log.ts';
 import { Attempts } from './attempts.ts';
 import { Cluster } from './cluster.ts';
 import type { LeaderDeps } from './context.ts';
-import { Endings } from './endings.ts';
+import { Completion } from './completion.ts';
 import { Gangs } from './gangs.ts';
-import { Orders } from './orders.ts';
+import { WorkerCommands } from './worker-commands.ts';
 import { Rounds } from './rounds.ts';
-import { Views } from './views.ts';
-import { Watch } from './watch.ts';
+import { PlanningViews } from './planning-views.ts';
+import { MachineMonitor } from './machine-monitor.ts';
 import { Fleet } from '../fleet/fleet.ts';
 import { Archive } from '../jobs/archive.ts';
 import { BegunNotes } from '../jobs/begun.ts';
@@ -21,7 +21,7 @@
 import type { Command, Report } from '../wire/worker.ts';
 import { Machine, type MachineIdentity } from '../workers/machine.ts';
 import { applyReport, commandsFor, isNewer, loseAll, noteAnswer } from '../workers/reconcile.ts';
-import { Roster } from '../workers/roster.ts';
+import { MachineRegistry } from '../workers/machine-registry.ts';
 
 const QUICK_IMAGES = 64;
 const PAGE_BYTES = 4000;
@@ -34,12 +34,12 @@
   private readonly gangs: Gangs;
   private readonly begun: BegunNotes;
   private readonly archive: Archive;
-  private readonly endings: Endings;
+  private readonly endings: Completion;
   private readonly attempts: Attempts;
-  private readonly orders: Orders;
+  private readonly orders: WorkerCommands;
   private readonly rounds: Rounds;
-  private readonly watch: Watch;
-  private readonly roster: Roster;
+  private readonly watch: MachineMonitor;
+  private readonly roster: MachineRegistry;
   private readonly fleet: Fleet;
   private readonly forecast: ArrivalForecast;
   private readonly quickImages = new Set<string>();
@@ -76,7 +76,7 @@
         for (const name of names) this.machineGone(name);
       },
     });
-    const views = new Views(
+    const views = new PlanningViews(
       { cluster: this.cluster, fleet: this.fleet, forecast: this.forecast, quickImages: this.quickImages },
       deps,
     );
@@ -101,13 +101,13 @@
       },
       post,
     });
-    this.endings = new Endings(this.cluster, this.begun, this.archive, deps);
+    this.endings = new Completion(this.cluster, this.begun, this.archive, deps);
     this.attempts = new Attempts(this.cluster, this.gangs, this.endings, this.begun, deps);
-    this.orders = new Orders(this.cluster, deps, (report) => {
+    this.orders = new WorkerCommands(this.cluster, deps, (report) => {
       this.onDirectReport(report);
     });
     this.rounds = new Rounds(this.cluster, this.fleet, views, this.attempts, deps);
-    this.watch = new Watch(
+    this.watch = new MachineMonitor(
       this.cluster,
       this.fleet,
       this.attempts,
@@ -118,7 +118,7 @@
         this.rounds.stopOrderly(a, reason);
       },
     );
-    this.roster = new Roster({
+    this.roster = new MachineRegistry({
       pageBytes,
       push: (job, urgent) => {
         writer.push(job, urgent ? 'starts' : 'background');
--- a/src/core/watch.ts
+++ b/src/leader/machine-monitor.ts
@@ -1,4 +1,4 @@
-import { DRIFT } from './clock.ts';
+import { DRIFT } from '../base/clock.ts';
 import type { Fleet } from '../fleet/fleet.ts';
 import type { Attempt, Machine } from '../workers/machine.ts';
 import { judgeMachine } from '../workers/failure-attribution.ts';
@@ -6,8 +6,8 @@
 import type { Attempts } from './attempts.ts';
 import type { Cluster } from './cluster.ts';
 import type { LeaderDeps } from './context.ts';
-import { BUSY_MS } from './lag.ts';
-import type { Orders } from './orders.ts';
+import { BUSY_MS } from '../base/event-loop-lag.ts';
+import type { WorkerCommands } from './worker-commands.ts';
 
 /**
  * In a cut all machines miss a report, one after the other: the first of them must not be given up before the
@@ -32,7 +32,7 @@
 const LAPSE_MARGIN_MS = 5000;
 
 /** Looks after machines over time: silent and deaf ones, sessions that are surely over, notices, takeovers. */
-export class Watch {
+export class MachineMonitor {
   private lastAt = -Infinity;
   /** Silence before this says nothing: this controller was not there to hear, or not the leader yet. */
   private listeningSince: number;
@@ -41,7 +41,7 @@
     private readonly cluster: Cluster,
     private readonly fleet: Fleet,
     private readonly attempts: Attempts,
-    private readonly orders: Orders,
+    private readonly orders: WorkerCommands,
     private readonly deps: LeaderDeps,
     private readonly startedAt: number,
     private readonly stopOrderly: (a: Attempt, reason: string) => void,
--- a/src/core/views.ts
+++ b/src/leader/planning-views.ts
@@ -1,7 +1,7 @@
 import type { Attempt, Machine } from '../workers/machine.ts';
 import type { Cluster } from './cluster.ts';
-import type { Intern } from './intern.ts';
-import type { Clock } from './clock.ts';
+import type { NameIndex } from '../base/name-index.ts';
+import type { Clock } from '../base/clock.ts';
 import type { Settings } from '../config/settings.ts';
 import type { Options } from '../config/options.ts';
 import type { Catalog } from '../fleet/catalog.ts';
@@ -27,19 +27,19 @@
 import type { JobRequest } from '../wire/user.ts';
 
 /** What a round is made of. */
-export interface ViewSources {
+export interface PlanningSources {
   readonly cluster: Cluster;
   readonly fleet: Fleet;
   readonly forecast: ArrivalForecast;
   readonly quickImages: ReadonlySet<string>;
 }
 
-export interface ViewDeps {
+export interface PlanningDeps {
   host: { clock: Clock };
   settings: Settings;
   options: Options;
   teams: readonly TeamLimits[];
-  zones: Intern;
+  zones: NameIndex;
   catalog: Catalog;
   term: number;
 }
@@ -94,12 +94,12 @@
 }
 
 /** Turns what the leader knows into what a round sees. It changes nothing but the views it makes. */
-export class Views {
+export class PlanningViews {
   private readonly c: Cluster;
 
   constructor(
-    private readonly sources: ViewSources,
-    private readonly deps: ViewDeps,
+    private readonly sources: PlanningSources,
+    private readonly deps: PlanningDeps,
   ) {
     this.c = sources.cluster;
   }
--- a/src/core/rounds.ts
+++ b/src/leader/rounds.ts
@@ -16,8 +16,8 @@
 import type { Attempts } from './attempts.ts';
 import type { Cluster } from './cluster.ts';
 import type { LeaderDeps } from './context.ts';
-import { BUSY_MS } from './lag.ts';
-import type { Views } from './views.ts';
+import { BUSY_MS } from '../base/event-loop-lag.ts';
+import type { PlanningViews } from './planning-views.ts';
 
 const MOST_MADE_ROOM = 8;
 /** Time for orders and reports around a stop or a start. */
@@ -48,7 +48,7 @@
   constructor(
     private readonly cluster: Cluster,
     private readonly fleet: Fleet,
-    private readonly views: Views,
+    private readonly views: PlanningViews,
     private readonly attempts: Attempts,
     private readonly deps: LeaderDeps,
   ) {}
@@ -333,7 +333,7 @@
   private readonly found = new Map<number, VictimView<Attempt>[]>();
   private guaranteed: ReadonlySet<Job> | null = null;
 
-  constructor(private readonly views: Views) {}
+  constructor(private readonly views: PlanningViews) {}
 
   on(machine: number, guaranteed: ReadonlySet<Job>): VictimView<Attempt>[] {
     if (this.guaranteed !== guaranteed) {
--- a/src/core/orders.ts
+++ b/src/leader/worker-commands.ts
@@ -3,7 +3,7 @@
 import { commandsFor, mayBegin } from '../workers/reconcile.ts';
 import type { Cluster } from './cluster.ts';
 import type { LeaderDeps } from './context.ts';
-import { BUSY_MS } from './lag.ts';
+import { BUSY_MS } from '../base/event-loop-lag.ts';
 
 /** Questions to workers under way at once: after a takeover there are as many to ask as there are machines. */
 const MOST_PROBES = 16;
@@ -14,7 +14,7 @@
 const DONE_PAUSE_MS = 300;
 
 /** What the leader sends straight to workers: orders that can't wait for the next report, and questions. */
-export class Orders {
+export class WorkerCommands {
   private readonly probing = new Set<Machine>();
 
   constructor(
--- a/src/leadership/election.ts
+++ b/src/leadership/election.ts
@@ -1,6 +1,6 @@
 import * as z from 'zod/mini';
-import type { Logger } from '../core/log.ts';
-import { DRIFT, type Clock } from '../core/clock.ts';
+import type { Logger } from '../base/log.ts';
+import { DRIFT, type Clock } from '../base/clock.ts';
 import { KEYS } from '../store/keys.ts';
 import type { StoreClient, StoreResult, TxnResult, Urgency } from '../store/client.ts';
 import type { Change, Condition, Item } from '../wire/state.ts';
--- a/src/leadership/grace.ts
+++ b/src/leadership/grace.ts
@@ -1,4 +1,4 @@
-import { DRIFT } from '../core/clock.ts';
+import { DRIFT } from '../base/clock.ts';
 
 /** Part of the time that a cancellation leaves beside the workers' lease. The rest covers what is not foreseen. */
 const SHARE = 0.6;
--- a/src/leadership/promises.ts
+++ b/src/leadership/promises.ts
@@ -1,4 +1,4 @@
-import { DRIFT } from '../core/clock.ts';
+import { DRIFT } from '../base/clock.ts';
 
 /**
  * How long a promise not to act without a leader holds at most, in ms. Long enough that a controller that is
--- a/src/mesh/reach.ts
+++ b/src/mesh/connectivity.ts
@@ -1,6 +1,6 @@
-import type { Clock } from '../core/clock.ts';
+import type { Clock } from '../base/clock.ts';
 
-export interface ReachDeps {
+export interface ConnectivityDeps {
   clock: Clock;
   /** When the state service last served this node. */
   storeServedAt(): number;
@@ -21,11 +21,11 @@
  * whose user had such a connection was as good as forgotten. Troubles that all nodes share leave the others in
  * reach, so health doesn't flap with them.
  */
-export class Reach {
+export class Connectivity {
   private peersAt: number;
   private asking = false;
 
-  constructor(private readonly deps: ReachDeps) {
+  constructor(private readonly deps: ConnectivityDeps) {
     this.peersAt = deps.clock.now();
   }
 
--- a/src/mesh/mesh.ts
+++ b/src/mesh/mesh.ts
@@ -1,5 +1,5 @@
 import { connect, createServer, type Server, type Socket } from 'node:net';
-import type { Logger } from '../core/log.ts';
+import type { Logger } from '../base/log.ts';
 import type { Peers } from './ask.ts';
 import { encodeFrame, FrameReader, type MeshFrame, type MeshReply, type MeshRequest } from './frames.ts';
 
--- a/src/sim/emulator.ts
+++ b/src/sim/emulator.ts
@@ -1,6 +1,6 @@
 import { defaultOptions, type Options } from '../config/options.ts';
 import type { Settings } from '../config/settings.ts';
-import type { Logger } from '../core/log.ts';
+import type { Logger } from '../base/log.ts';
 import { LoadBalancer } from './balancer.ts';
 import { SimCloud } from './cloud.ts';
 import { EventLog, type SimEvent } from './events.ts';
--- a/src/sim/node.ts
+++ b/src/sim/node.ts
@@ -1,6 +1,6 @@
-import { Controller } from '../core/controller.ts';
-import type { Logger } from '../core/log.ts';
-import type { Platform, Timers } from '../core/platform.ts';
+import { Controller } from '../controller/controller.ts';
+import type { Logger } from '../base/log.ts';
+import type { Platform, Timers } from '../controller/platform.ts';
 import type { Options } from '../config/options.ts';
 import type { Settings } from '../config/settings.ts';
 import type { HttpResult, HttpSender } from '../http/client.ts';
--- a/src/sim/state.ts
+++ b/src/sim/state.ts
@@ -30,7 +30,7 @@
   version: number;
 }
 
-interface Watch {
+interface MachineMonitor {
   from: Host;
   prefix: string;
   since: number;
@@ -65,7 +65,7 @@
   private readonly data = new Map<string, Entry>();
   private readonly leases = new Map<number, Lease>();
   private history: Change[] = [];
-  private watches: Watch[] = [];
+  private watches: MachineMonitor[] = [];
   private revision = 1;
   private nextLease = 1;
   private outageUntil = 0;
@@ -282,7 +282,7 @@
 
   private follow(from: Host, query: URLSearchParams, reply: (answer: Answer) => void): void {
     const holdMs = Math.min(60_000, Number(query.get('holdMs') ?? 0));
-    const watch: Watch = {
+    const watch: MachineMonitor = {
       from,
       prefix: query.get('starts') ?? '',
       since: Number(query.get('since') ?? 0),
@@ -298,7 +298,7 @@
 
   /** Answers the watches that have something to tell or whose time is over. */
   private notify(): void {
-    const waiting: Watch[] = [];
+    const waiting: MachineMonitor[] = [];
     for (const watch of this.watches) {
       const result = this.refuses(watch.from) ? null : this.changes(watch);
       if (result) watch.reply(result);
@@ -307,7 +307,7 @@
     this.watches = waiting;
   }
 
-  private changes({ prefix, since, deadline }: Watch): Answer | null {
+  private changes({ prefix, since, deadline }: MachineMonitor): Answer | null {
     const oldest = this.history[0]?.version ?? this.revision;
     if (this.history.length >= RETAINED && since < oldest - 1) return answer(410, { ledger: this.revision });
     let first = this.history.length;
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -1,5 +1,5 @@
 import type { HttpResult, HttpSender } from '../http/client.ts';
-import type { Logger } from '../core/log.ts';
+import type { Logger } from '../base/log.ts';
 import type { Decoded } from '../wire/amounts.ts';
 import * as wire from '../wire/state.ts';
 import { RateBudget } from './budget.ts';
--- a/src/store/writer.ts
+++ b/src/store/writer.ts
@@ -1,4 +1,4 @@
-import type { Logger } from '../core/log.ts';
+import type { Logger } from '../base/log.ts';
 import type { Change, Condition } from '../wire/state.ts';
 import { RateBudget } from './budget.ts';
 import type { TxnResult } from './client.ts';
--- a/src/workers/roster.ts
+++ b/src/workers/machine-registry.ts
@@ -19,7 +19,7 @@
   waiting: (() => void)[];
 }
 
-export interface RosterDeps {
+export interface MachineRegistryDeps {
   /** Pages stay below this, so that a change rewrites little and a value is never too long. */
   pageBytes: number;
   push(job: WriteJob, urgent: boolean): void;
@@ -31,11 +31,11 @@
  * budget of changes of the state service for a minute whenever some hundred machines reported for the first
  * time. A machine is in a durable page before its first task, and until it surely holds none.
  */
-export class Roster {
+export class MachineRegistry {
   private readonly pages: Page[] = [];
   private readonly pageOf = new Map<string, Page>();
 
-  constructor(private readonly deps: RosterDeps) {}
+  constructor(private readonly deps: MachineRegistryDeps) {}
 
   /** Takes over what an earlier leader left. */
   load(items: readonly Item[], malformed: (key: string) => void): MachineIdentity[] {
--- a/test/core/lag.test.ts
+++ b/test/base/event-loop-lag.test.ts
@@ -1,10 +1,10 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
-import { BUSY_MS, Lag } from '../../src/core/lag.ts';
+import { BUSY_MS, EventLoopLag } from '../../src/base/event-loop-lag.ts';
 
 test('a node is busy while its ticks come late, at once when none comes, and no longer once they are in time', () => {
   let at = 0;
-  const lag = new Lag(200, () => at);
+  const lag = new EventLoopLag(200, () => at);
   const tick = (after: number): void => {
     at += after;
     lag.tick();
--- a/test/core/routes.test.ts
+++ b/test/controller/routes.test.ts
@@ -2,10 +2,10 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
 import { defaultOptions } from '../../src/config/options.ts';
-import { Routes } from '../../src/core/routes.ts';
+import { Routes } from '../../src/controller/routes.ts';
 import { AdaptiveLimit } from '../../src/http/limit.ts';
 import type { Answer, Reply } from '../../src/http/server.ts';
-import type { UserDoor } from '../../src/jobs/door.ts';
+import type { UserRequests } from '../../src/jobs/user-requests.ts';
 import { StoreClient } from '../../src/store/client.ts';
 import { FakeClock, silent } from '../helpers.ts';
 
@@ -17,7 +17,7 @@
   const answers = new Map<string, Answer>();
   const limit = (): AdaptiveLimit =>
     new AdaptiveLimit(() => 0, { initial: MOST, min: MOST, max: MOST, slackMs: 1, tolerance: 2 });
-  const door = {
+  const userRequests = {
     submit: (_body: string, reply: Reply) => {
       reply(OK);
     },
@@ -26,10 +26,10 @@
     },
     pollFromMemory: (id: string) => (id === 'req-1' ? OK : null),
     poll: () => undefined,
-  } as unknown as UserDoor;
+  } as unknown as UserRequests;
   const made = new Routes({
     options: defaultOptions(),
-    door,
+    userRequests,
     userLimit: limit(),
     pollLimit: limit(),
     workerLimit: limit(),
--- a/test/core/service.test.ts
+++ b/test/controller/service.test.ts
@@ -2,7 +2,7 @@
 import test, { after, before } from 'node:test';
 import { defaultOptions } from '../../src/config/options.ts';
 import { parseSettings } from '../../src/config/settings.ts';
-import { Service } from '../../src/core/service.ts';
+import { Service } from '../../src/controller/service.ts';
 import { CloudStandIn } from '../../standins/cloud.ts';
 import { StateStandIn } from '../../standins/state.ts';
 import { SETTINGS } from '../config/sample.ts';
--- a/test/core/warmup.test.ts
+++ b/test/controller/warm-up.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
-import { WarmUp } from '../../src/core/warmup.ts';
+import { WarmUp } from '../../src/controller/warm-up.ts';
 
 test('practice runs through its turns, whatever is made up for it', () => {
   const warmUp = new WarmUp(5);
--- a/test/fleet/fleet.test.ts
+++ b/test/fleet/fleet.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
 import { defaultOptions } from '../../src/config/options.ts';
-import { Intern } from '../../src/core/intern.ts';
+import { NameIndex } from '../../src/base/name-index.ts';
 import { Catalog } from '../../src/fleet/catalog.ts';
 import type { Cloud } from '../../src/fleet/cloud.ts';
 import { Fleet, type FleetDeps } from '../../src/fleet/fleet.ts';
@@ -30,7 +30,7 @@
     log: silent,
     cloud,
     catalog: new Catalog([BIG]),
-    zones: new Intern(['a', 'b']),
+    zones: new NameIndex(['a', 'b']),
     options: defaultOptions(),
     term: 3,
     surelyLeading: () => true,
--- a/test/helpers.ts
+++ b/test/helpers.ts
@@ -1,6 +1,6 @@
 import type { GroupView, MachineView, OptionView } from '../src/scheduling/view.ts';
 import type { MachineTypeInfo } from '../src/wire/cloud.ts';
-import type { Clock } from '../src/core/clock.ts';
+import type { Clock } from '../src/base/clock.ts';
 import { pino } from 'pino';
 
 export const SEED = 20261201;
--- a/test/http/server.test.ts
+++ b/test/http/server.test.ts
@@ -1,11 +1,11 @@
 import assert from 'node:assert/strict';
 import { Agent, request } from 'node:http';
 import test from 'node:test';
-import { Door } from '../../src/http/server.ts';
+import { HttpServer } from '../../src/http/server.ts';
 
 /** A real server on a port that the system chooses. */
-async function openDoor(inbound: number, crowded: number): Promise<Door> {
-  const door = new Door(
+async function openDoor(inbound: number, crowded: number): Promise<HttpServer> {
+  const userRequests = new HttpServer(
     (_request, reply) => {
       reply({ status: 200, body: '{}' });
     },
@@ -16,12 +16,12 @@
       now: () => performance.now(),
     },
   );
-  await door.listen('127.0.0.1:0');
-  return door;
+  await userRequests.listen('127.0.0.1:0');
+  return userRequests;
 }
 
-function ask(door: Door, path: string, agent: Agent): Promise<number> {
-  const [host, port] = door.address.split(':');
+function ask(userRequests: HttpServer, path: string, agent: Agent): Promise<number> {
+  const [host, port] = userRequests.address.split(':');
   return new Promise((resolve, reject) => {
     const req = request({ host, port, path, method: 'POST', agent }, (res) => {
       res.resume();
@@ -35,38 +35,38 @@
 }
 
 test('more workers than sockets report again and again, and users are answered in between', async () => {
-  const door = await openDoor(16, 8);
+  const userRequests = await openDoor(16, 8);
   const workers = Array.from({ length: 40 }, () => new Agent({ keepAlive: true }));
   const user = new Agent({ keepAlive: true });
   let most = 0;
   for (let round = 0; round < 3; round++) {
     for (const agent of workers) {
-      assert.equal(await ask(door, '/checkin', agent), 200);
-      most = Math.max(most, door.open);
+      assert.equal(await ask(userRequests, '/checkin', agent), 200);
+      most = Math.max(most, userRequests.open);
     }
-    assert.equal(await ask(door, '/work', user), 200);
+    assert.equal(await ask(userRequests, '/work', user), 200);
   }
   assert.ok(most <= 10, `${most} open`);
   for (const agent of [...workers, user]) agent.destroy();
-  door.close();
+  userRequests.close();
 });
 
 test('when the queue is dropped open connections stay, and new ones are taken', async () => {
-  const door = await openDoor(16, 8);
+  const userRequests = await openDoor(16, 8);
   const kept = new Agent({ keepAlive: true, maxSockets: 1 });
-  assert.equal(await ask(door, '/work', kept), 200);
-  const port = door.address;
-  for (let i = 0; i < 3; i++) (door as unknown as { dropQueue(): void }).dropQueue();
-  assert.equal(await ask(door, '/work', kept), 200);
-  assert.equal(door.open, 1);
-  assert.equal(door.address, port);
+  assert.equal(await ask(userRequests, '/work', kept), 200);
+  const port = userRequests.address;
+  for (let i = 0; i < 3; i++) (userRequests as unknown as { dropQueue(): void }).dropQueue();
+  assert.equal(await ask(userRequests, '/work', kept), 200);
+  assert.equal(userRequests.open, 1);
+  assert.equal(userRequests.address, port);
   const fresh = new Agent();
   let status = 0;
   // Between two queues a connection may be refused for a moment.
   for (let i = 0; i < 1000 && status !== 200; i++) {
-    status = await ask(door, '/work', fresh).catch(() => 0);
+    status = await ask(userRequests, '/work', fresh).catch(() => 0);
   }
   assert.equal(status, 200);
   kept.destroy();
-  door.close();
+  userRequests.close();
 });
--- a/test/jobs/bad-submissions.test.ts
+++ b/test/jobs/bad-submissions.test.ts
@@ -4,7 +4,7 @@
 import { defaultOptions } from '../../src/config/options.ts';
 import { Catalog } from '../../src/fleet/catalog.ts';
 import type { Answer } from '../../src/http/server.ts';
-import { UserDoor, type DoorDeps } from '../../src/jobs/door.ts';
+import { UserRequests, type UserRequestDeps } from '../../src/jobs/user-requests.ts';
 import { FinalCache } from '../../src/jobs/finals.ts';
 import { openValue } from '../../src/jobs/records.ts';
 import { KEYS } from '../../src/store/keys.ts';
@@ -38,7 +38,7 @@
 }
 
 /** A controller without a leader in a given situation. */
-function controller(situation: Situation): { door: UserDoor; written: string[] } {
+function controller(situation: Situation): { userRequests: UserRequests; written: string[] } {
   const written: string[] = [];
   const get = (key: string) => {
     if (!situation.store) return Promise.resolve({ kind: 'refused' as const });
@@ -51,7 +51,7 @@
     written.push(...changes.map((c) => c.put ?? ''));
     return Promise.resolve({ kind: 'ok' as const, revision: 2 });
   };
-  const askOthers: DoorDeps['askOthers'] = (request) => {
+  const askOthers: UserRequestDeps['askOthers'] = (request) => {
     const { other } = situation;
     if (!other || request.kind !== 'look') return Promise.resolve(null);
     const found = other.has(KEYS.open(request.jobId));
@@ -59,7 +59,7 @@
       found ? { kind: 'status', created: false, stage: 'pending', done: 0, running: 0 } : { kind: 'unknown' },
     );
   };
-  const door = new UserDoor({
+  const userRequests = new UserRequests({
     clock: new FakeClock(),
     options: defaultOptions(),
     store: { get, txn } as unknown as StoreClient,
@@ -72,12 +72,12 @@
     askLeader: () => Promise.resolve(null),
     askOthers,
   });
-  return { door, written };
+  return { userRequests, written };
 }
 
-const submit = (door: UserDoor, body: string): Promise<Answer> =>
+const submit = (userRequests: UserRequests, body: string): Promise<Answer> =>
   new Promise((resolve) => {
-    door.submit(body, resolve);
+    userRequests.submit(body, resolve);
   });
 
 const holding = (id: string): Map<string, unknown> => {
@@ -97,8 +97,8 @@
 test('a malformed submission gets 400 and nothing is written, wherever its id can be looked up', async () => {
   await fc.assert(
     fc.asyncProperty(malformedSubmission, fc.constantFrom(...ABLE), async (body, situation) => {
-      const { door, written } = controller(situation);
-      const answer = await submit(door, body);
+      const { userRequests, written } = controller(situation);
+      const answer = await submit(userRequests, body);
       assert.equal(answer.status, 400, answer.body);
       assert.deepEqual(written, []);
     }),
@@ -112,14 +112,14 @@
       ? [...IMPOSSIBLE_FOR_TEAM, ...IMPOSSIBLE_ON_MACHINES]
       : IMPOSSIBLE_FOR_TEAM;
     for (const body of bodies) {
-      const { door, written } = controller(situation);
-      const answer = await submit(door, JSON.stringify(body));
+      const { userRequests, written } = controller(situation);
+      const answer = await submit(userRequests, JSON.stringify(body));
       assert.equal(answer.status, 422, JSON.stringify([body, answer]));
       assert.deepEqual(written, []);
     }
     if (situation.catalogKnown) continue;
     for (const body of [FITTING, ...IMPOSSIBLE_ON_MACHINES]) {
-      const answer = await submit(controller(situation).door, JSON.stringify(body));
+      const answer = await submit(controller(situation).userRequests, JSON.stringify(body));
       assert.equal(answer.status, 503);
       assert.ok((answer.retryAfterS ?? 0) >= 1);
     }
@@ -137,7 +137,7 @@
         store: situation.store && holding(id!),
         other: situation.other && holding(id!),
       };
-      assert.equal((await submit(controller(known).door, body)).status, 200);
+      assert.equal((await submit(controller(known).userRequests, body)).status, 200);
     }),
     { seed: SEED },
   );
@@ -148,13 +148,13 @@
     const situation = { store: null, other: null, catalogKnown };
     const bodies = [...IMPOSSIBLE_FOR_TEAM, ...IMPOSSIBLE_ON_MACHINES, { ...FITTING, loaves: 0 }];
     for (const body of bodies) {
-      const answer = await submit(controller(situation).door, JSON.stringify(body));
+      const answer = await submit(controller(situation).userRequests, JSON.stringify(body));
       assert.equal(answer.status, 503);
       assert.ok((answer.retryAfterS ?? 0) >= 1);
     }
     // Without an id there is nothing to look up.
     for (const body of ['', '[]', '{}', JSON.stringify({ ...FITTING, uid: 'job-1' })]) {
-      assert.equal((await submit(controller(situation).door, body)).status, 400);
+      assert.equal((await submit(controller(situation).userRequests, body)).status, 400);
     }
   }
 });
--- a/test/jobs/controllers.ts
+++ b/test/jobs/controllers.ts
@@ -1,10 +1,10 @@
 import { defaultOptions } from '../../src/config/options.ts';
 import type { Settings } from '../../src/config/settings.ts';
-import { Intern } from '../../src/core/intern.ts';
-import { Leader } from '../../src/core/leader.ts';
+import { NameIndex } from '../../src/base/name-index.ts';
+import { Leader } from '../../src/leader/leader.ts';
 import { Catalog } from '../../src/fleet/catalog.ts';
 import type { Answer, Reply } from '../../src/http/server.ts';
-import { UserDoor, type DoorDeps } from '../../src/jobs/door.ts';
+import { UserRequests, type UserRequestDeps } from '../../src/jobs/user-requests.ts';
 import { EndWrites } from '../../src/jobs/end-writes.ts';
 import { FinalCache } from '../../src/jobs/finals.ts';
 import { answerBatch, PollBatcher } from '../../src/jobs/poll-batches.ts';
@@ -63,7 +63,7 @@
   knownLeader: number | null;
   held: Held | null;
   leader: Leader | null;
-  door: UserDoor;
+  userRequests: UserRequests;
 }
 
 export interface Asked {
@@ -116,7 +116,7 @@
         knownLeader: null,
         held: null,
         leader: null,
-        door: null!,
+        userRequests: null!,
       });
       this.start(this.nodes[index]!);
     }
@@ -134,9 +134,10 @@
         asked.answer = answer;
         this.answered(asked, answer, before);
       };
-      if (kind === 'submit') controller.door.submit(JSON.stringify({ ...JOB, uid: jobId(job) }), reply);
-      else if (kind === 'poll') controller.door.poll(jobId(job), reply);
-      else controller.door.cancel(jobId(job), reply);
+      if (kind === 'submit')
+        controller.userRequests.submit(JSON.stringify({ ...JOB, uid: jobId(job) }), reply);
+      else if (kind === 'poll') controller.userRequests.poll(jobId(job), reply);
+      else controller.userRequests.cancel(jobId(job), reply);
     });
     return asked;
   }
@@ -203,11 +204,11 @@
       read: (key) => this.get(c, key),
       moreUrgent,
     });
-    const store: DoorDeps['store'] = {
+    const store: UserRequestDeps['store'] = {
       get: (key, urgency) => reads.get(key, urgency),
       txn: (conditions, changes, _urgency, timeoutMs) => this.txn(c, conditions, changes, timeoutMs),
     };
-    c.door = new UserDoor({
+    c.userRequests = new UserRequests({
       clock: { now, wall: now },
       options: defaultOptions(),
       store,
@@ -231,7 +232,7 @@
     });
   }
 
-  private localLeader(c: Controller): ReturnType<ConstructorParameters<typeof UserDoor>[0]['leader']> {
+  private localLeader(c: Controller): ReturnType<ConstructorParameters<typeof UserRequests>[0]['leader']> {
     const { leader } = c;
     if (!leader) return null;
     return {
@@ -253,11 +254,11 @@
   private answerNode(asked: Controller, request: MeshRequest, reply: (reply: MeshReply) => void): void {
     if (request.kind === 'promise' || request.kind === 'ping' || request.kind === 'workers') return;
     if (request.kind !== 'polls') {
-      asked.door.onMesh(request, reply);
+      asked.userRequests.onMesh(request, reply);
       return;
     }
     const answerOne = (id: string, answered: (answer: PollAnswer) => void): void => {
-      asked.door.onMesh({ kind: 'poll', jobId: id }, (found) => {
+      asked.userRequests.onMesh({ kind: 'poll', jobId: id }, (found) => {
         answered(found.kind === 'status' || found.kind === 'unknown' ? found : { kind: 'unable' });
       });
     };
@@ -459,7 +460,7 @@
       settings: SETTINGS as Settings,
       options,
       teams: [{ name: 'vision', cpus: 0, gpus: 8, cpusMax: 0, gpusMax: 1000 }],
-      zones: new Intern(['a', 'b']),
+      zones: new NameIndex(['a', 'b']),
       catalog: new Catalog([BIG]),
       cloud: {
         ready: () => false,
--- a/test/jobs/door.test.ts
+++ b/test/jobs/user-requests.test.ts
@@ -3,7 +3,7 @@
 import { defaultOptions } from '../../src/config/options.ts';
 import { Catalog } from '../../src/fleet/catalog.ts';
 import type { Answer } from '../../src/http/server.ts';
-import { UserDoor, type DoorDeps, type LocalLeader } from '../../src/jobs/door.ts';
+import { UserRequests, type UserRequestDeps, type LocalLeader } from '../../src/jobs/user-requests.ts';
 import { FinalCache } from '../../src/jobs/finals.ts';
 import { MAX_FINDING_AGE_MS } from '../../src/jobs/knowledge.ts';
 import type { MeshReply, MeshRequest } from '../../src/mesh/frames.ts';
@@ -20,7 +20,7 @@
 const ID = 'req-000001';
 
 /** A controller without a leader over a store whose calls take a given time, on the controller's own clock. */
-function slow(records: Record<string, unknown>, ms: number): UserDoor {
+function slow(records: Record<string, unknown>, ms: number): UserRequests {
   const clock = new FakeClock();
   const found = (key: string): Item | null =>
     key in records ? { key, value: records[key], version: 1, lease: null } : null;
@@ -35,11 +35,11 @@
       return Promise.resolve(known ? { kind: 'conflict', failed: [] } : { kind: 'ok', revision: 2 });
     },
   } as unknown as StoreClient;
-  return doorOver(store, { clock });
+  return userRequestsOver(store, { clock });
 }
 
-function doorOver(store: StoreClient, over: Partial<DoorDeps> = {}): UserDoor {
-  return new UserDoor({
+function userRequestsOver(store: StoreClient, over: Partial<UserRequestDeps> = {}): UserRequests {
+  return new UserRequests({
     clock: new FakeClock(),
     options: defaultOptions(),
     store,
@@ -57,19 +57,19 @@
 
 /** A controller that the state service refuses alone and that knows of no leader. */
 function refused(others: (request: MeshRequest) => MeshReply | null): {
-  door: UserDoor;
+  userRequests: UserRequests;
   asked: MeshRequest[];
 } {
   const asked: MeshRequest[] = [];
   const refuse = () => Promise.resolve({ kind: 'refused' as const });
   const store = { get: refuse, txn: refuse } as unknown as StoreClient;
-  const door = doorOver(store, {
+  const userRequests = userRequestsOver(store, {
     askOthers: (request) => {
       asked.push(request);
       return Promise.resolve(others(request));
     },
   });
-  return { door, asked };
+  return { userRequests, asked };
 }
 
 const answer = (run: (reply: (a: Answer) => void) => void): Promise<Answer> => new Promise(run);
@@ -83,16 +83,16 @@
     return r.kind === 'cancel' ? cancelled : running;
   });
   const poll = await answer((reply) => {
-    helped.door.poll('req-000001', reply);
+    helped.userRequests.poll('req-000001', reply);
   });
   assert.equal(poll.status, 200);
   assert.equal((JSON.parse(poll.body) as { stage: string }).stage, 'running');
   const submit = await answer((reply) => {
-    helped.door.submit(JSON.stringify(JOB), reply);
+    helped.userRequests.submit(JSON.stringify(JOB), reply);
   });
   assert.equal(submit.status, 201);
   const cancel = await answer((reply) => {
-    helped.door.cancel('req-000001', reply);
+    helped.userRequests.cancel('req-000001', reply);
   });
   assert.equal(cancel.status, 200);
   assert.equal((JSON.parse(cancel.body) as { stage: string }).stage, 'aborted');
@@ -104,22 +104,22 @@
 
 test('a job is unknown only if somebody looked and found nothing; else the answer is 503 at once', async () => {
   const unknown = refused(() => ({ kind: 'unknown' }));
-  const poll = (door: UserDoor): Promise<Answer> =>
+  const poll = (userRequests: UserRequests): Promise<Answer> =>
     answer((reply) => {
-      door.poll('req-000002', reply);
+      userRequests.poll('req-000002', reply);
     });
-  assert.equal((await poll(unknown.door)).status, 404);
+  assert.equal((await poll(unknown.userRequests)).status, 404);
   const alone = refused(() => null);
-  const busy = await poll(alone.door);
+  const busy = await poll(alone.userRequests);
   assert.equal(busy.status, 503);
   assert.ok((busy.retryAfterS ?? 0) >= 1);
 });
 
 test('an answer from a read that took long is refused unless it is final', async () => {
   // Meanwhile another controller may have told the user something newer.
-  const poll = (door: UserDoor): Promise<Answer> =>
+  const poll = (userRequests: UserRequests): Promise<Answer> =>
     answer((reply) => {
-      door.poll(ID, reply);
+      userRequests.poll(ID, reply);
     });
   assert.ok(MAX_FINDING_AGE_MS < 2000, 'users wait for 2 s');
   const late = MAX_FINDING_AGE_MS + 1;
@@ -131,9 +131,9 @@
 });
 
 test('a submission that was carried out but answered late is looked up before it is told', async () => {
-  const submit = (door: UserDoor): Promise<Answer> =>
+  const submit = (userRequests: UserRequests): Promise<Answer> =>
     answer((reply) => {
-      door.submit(JSON.stringify(JOB), reply);
+      userRequests.submit(JSON.stringify(JOB), reply);
     });
   assert.equal((await submit(slow({}, 10))).status, 201);
   const late = slow({ [KEYS.final(JOB.uid)]: { s: 'cancelled', n: 0 } }, MAX_FINDING_AGE_MS + 1);
@@ -143,9 +143,9 @@
 
 test('a cancellation is answered with a final state or refused', async () => {
   const open = { kind: 'status', created: false, stage: 'pending', done: 0, running: 0 } as const;
-  const { door } = refused(() => open);
+  const { userRequests } = refused(() => open);
   const told = await answer((reply) => {
-    door.cancel(ID, reply);
+    userRequests.cancel(ID, reply);
   });
   assert.equal(told.status, 503);
 });
@@ -167,7 +167,7 @@
     },
   } as unknown as StoreClient;
   const told = await answer((reply) => {
-    doorOver(store, { leader }).cancel(ID, reply);
+    userRequestsOver(store, { leader }).cancel(ID, reply);
   });
   assert.equal(told.status, 503);
   assert.deepEqual(created, []);
@@ -177,10 +177,10 @@
 function follower(
   store: MemoryStore,
   perSecond = 5,
-): { door: UserDoor; clock: FakeClock; asked: MeshRequest[] } {
+): { userRequests: UserRequests; clock: FakeClock; asked: MeshRequest[] } {
   const clock = new FakeClock();
   const asked: MeshRequest[] = [];
-  const door = new UserDoor({
+  const userRequests = new UserRequests({
     clock,
     options: defaultOptions(),
     store: store as unknown as StoreClient,
@@ -196,38 +196,38 @@
       return Promise.resolve(null);
     },
   });
-  return { door, clock, asked };
+  return { userRequests, clock, asked };
 }
 
 const jobId = (n: number): string => `req-${String(n).padStart(6, '0')}`;
-const submit = (door: UserDoor, n: number): Promise<Answer> =>
+const submit = (userRequests: UserRequests, n: number): Promise<Answer> =>
   answer((reply) => {
-    door.submit(JSON.stringify({ ...JOB, uid: jobId(n) }), reply);
+    userRequests.submit(JSON.stringify({ ...JOB, uid: jobId(n) }), reply);
   });
-const poll = (door: UserDoor, n: number): Promise<Answer> =>
+const poll = (userRequests: UserRequests, n: number): Promise<Answer> =>
   answer((reply) => {
-    door.poll(jobId(n), reply);
+    userRequests.poll(jobId(n), reply);
   });
 const stage = (a: Answer): unknown => (JSON.parse(a.body) as { stage?: string }).stage;
 
 test('a final state takes the place of the open record, and is told wherever it is moved later', async () => {
   const store = new MemoryStore();
-  const { door } = follower(store);
-  assert.equal((await submit(door, 1)).status, 201);
-  assert.equal(stage(await poll(door, 1)), 'pending');
+  const { userRequests } = follower(store);
+  assert.equal((await submit(userRequests, 1)).status, 201);
+  assert.equal(stage(await poll(userRequests, 1)), 'pending');
   const cancelled = await answer((reply) => {
-    door.cancel(jobId(1), reply);
+    userRequests.cancel(jobId(1), reply);
   });
   assert.equal(stage(cancelled), 'aborted');
   assert.deepEqual([...store.data.keys()], [KEYS.open(jobId(1))]);
   // From here on by nodes that remember nothing, before and after the move to the archive.
   for (const place of ['record', 'archive']) {
-    const other = follower(store).door;
+    const other = follower(store).userRequests;
     assert.equal(stage(await poll(other, 1)), 'aborted', place);
-    const again = await submit(follower(store).door, 1);
+    const again = await submit(follower(store).userRequests, 1);
     assert.deepEqual([again.status, stage(again)], [200, 'aborted'], place);
     const cancelledAgain = await answer((reply) => {
-      follower(store).door.cancel(jobId(1), reply);
+      follower(store).userRequests.cancel(jobId(1), reply);
     });
     assert.equal(stage(cancelledAgain), 'aborted', place);
     const { value } = store.data.get(KEYS.open(jobId(1))) ?? { value: null };
@@ -239,10 +239,10 @@
 
 test("submissions beyond this node's share are refused at once and cost the state service nothing", async () => {
   const store = new MemoryStore();
-  const { door, clock, asked } = follower(store, 5);
+  const { userRequests, clock, asked } = follower(store, 5);
   const statuses: number[] = [];
   for (let n = 0; n < 40; n++) {
-    const a = await submit(door, n);
+    const a = await submit(userRequests, n);
     statuses.push(a.status);
     if (a.status !== 201) assert.ok((a.retryAfterS ?? 0) >= 1);
   }
@@ -250,24 +250,24 @@
   assert.equal(statuses.filter((s) => s === 503).length, 35);
   assert.equal(store.changes, 5);
   clock.at += 1000;
-  assert.equal((await submit(door, 7)).status, 201);
+  assert.equal((await submit(userRequests, 7)).status, 201);
   // Refused for its rate by the service itself: this node leaves the changes to others for a while.
   store.fates.push('over_limit');
-  assert.equal((await submit(door, 8)).status, 503);
+  assert.equal((await submit(userRequests, 8)).status, 503);
   const before = store.changes;
   clock.at += 900;
-  assert.equal((await submit(door, 8)).status, 503);
+  assert.equal((await submit(userRequests, 8)).status, 503);
   assert.equal(store.changes, before);
   clock.at += 300;
-  assert.equal((await submit(door, 8)).status, 201);
+  assert.equal((await submit(userRequests, 8)).status, 201);
   assert.deepEqual(asked, [], 'others were asked to spend what this node may not');
 });
 
 test('a submission that was carried out though its answer was lost is accepted after a look', async () => {
   const store = new MemoryStore();
-  const { door } = follower(store);
+  const { userRequests } = follower(store);
   store.fates.push('lost');
-  const a = await submit(door, 3);
+  const a = await submit(userRequests, 3);
   assert.deepEqual([a.status, stage(a)], [200, 'pending']);
   assert.equal(store.changes, 1);
 });
--- a/test/core/harness.ts
+++ b/test/leader/harness.ts
@@ -1,7 +1,7 @@
 import { defaultOptions } from '../../src/config/options.ts';
 import type { Settings } from '../../src/config/settings.ts';
-import { Intern } from '../../src/core/intern.ts';
-import { Leader } from '../../src/core/leader.ts';
+import { NameIndex } from '../../src/base/name-index.ts';
+import { Leader } from '../../src/leader/leader.ts';
 import { Catalog } from '../../src/fleet/catalog.ts';
 import { begunValue, openValue } from '../../src/jobs/records.ts';
 import { KEYS } from '../../src/store/keys.ts';
@@ -127,7 +127,7 @@
         cpusMax: t.cpus_max,
         gpusMax: t.gpus_max,
       })),
-      zones: new Intern(['a', 'b']),
+      zones: new NameIndex(['a', 'b']),
       catalog: new Catalog([BIG]),
       cloud: {
         ready: () => true,
--- a/test/core/standstill.test.ts
+++ b/test/leader/standstill.test.ts
@@ -4,13 +4,13 @@
 import test from 'node:test';
 import { defaultOptions } from '../../src/config/options.ts';
 import { parseSettings } from '../../src/config/settings.ts';
-import { Intern } from '../../src/core/intern.ts';
-import { Leader } from '../../src/core/leader.ts';
+import { NameIndex } from '../../src/base/name-index.ts';
+import { Leader } from '../../src/leader/leader.ts';
 import { Catalog } from '../../src/fleet/catalog.ts';
 import type { Cloud } from '../../src/fleet/cloud.ts';
 import type { Answer } from '../../src/http/server.ts';
 import { HttpClient, passingAgent } from '../../src/http/client.ts';
-import { UserDoor } from '../../src/jobs/door.ts';
+import { UserRequests } from '../../src/jobs/user-requests.ts';
 import { FinalCache } from '../../src/jobs/finals.ts';
 import { finalValue, openValue } from '../../src/jobs/records.ts';
 import { validUntil } from '../../src/leadership/election.ts';
@@ -44,7 +44,7 @@
   readonly store = new Map<string, unknown>();
   sureUntil = validUntil(0, TTL_MS);
   readonly leader: Leader;
-  readonly users: UserDoor;
+  readonly users: UserRequests;
   private seq = 0;
 
   constructor() {
@@ -106,14 +106,14 @@
       settings,
       options,
       teams,
-      zones: new Intern(['a', 'b']),
+      zones: new NameIndex(['a', 'b']),
       catalog,
       cloud,
       writer,
       term: TERM,
       graceMs: 12_000,
     });
-    this.users = new UserDoor({
+    this.users = new UserRequests({
       clock: this.clock,
       options,
       store: {
--- a/test/leadership/controllers.ts
+++ b/test/leadership/controllers.ts
@@ -1,5 +1,5 @@
 import { defaultOptions } from '../../src/config/options.ts';
-import { UserDoor } from '../../src/jobs/door.ts';
+import { UserRequests } from '../../src/jobs/user-requests.ts';
 import { FinalCache } from '../../src/jobs/finals.ts';
 import { openValue } from '../../src/jobs/records.ts';
 import { Election } from '../../src/leadership/election.ts';
@@ -23,7 +23,7 @@
   /** It and the other controllers don't reach each other until then. */
   peersLostUntil: number;
   election: Election | null;
-  door: UserDoor | null;
+  userRequests: UserRequests | null;
 }
 
 export interface ControllersOptions {
@@ -68,7 +68,7 @@
       lossy,
       life: 0,
       election: null,
-      door: null,
+      userRequests: null,
     }));
     for (const node of this.nodes) this.boot(node);
     this.store.onStep = () => {
@@ -103,20 +103,20 @@
 
   /** A user's cancellation at one controller; the stage that was told, if any. */
   cancel(node: Controller, id: string, told: (stage: string | null) => void = () => undefined): void {
-    node.door?.cancel(id, (answer) => {
+    node.userRequests?.cancel(id, (answer) => {
       told(answer.status === 200 ? stageOf(answer.body) : null);
     });
   }
 
   poll(node: Controller, id: string, told: (stage: string | null) => void): void {
-    node.door?.poll(id, (answer) => {
+    node.userRequests?.poll(id, (answer) => {
       told(answer.status === 200 ? stageOf(answer.body) : null);
     });
   }
 
   crash(node: Controller, backMs: number | null): void {
     node.election = null;
-    node.door = null;
+    node.userRequests = null;
     node.life += 1;
     const { life } = node;
     if (backMs === null) return;
@@ -145,7 +145,7 @@
       (request) => this.askPromises(node, alive, request),
     );
     node.election = election;
-    node.door = new UserDoor({
+    node.userRequests = new UserRequests({
       clock,
       options: defaultOptions(),
       store: store as unknown as StoreClient,
@@ -201,16 +201,17 @@
   private async ask(from: Controller, to: Controller, request: MeshRequest): Promise<MeshReply | null> {
     const delay = (): Promise<void> => this.sim.pause(this.sim.between(1, this.loss > 0 ? 400 : 20));
     await delay();
-    if (!to.election || !to.door || !this.connected(from, to) || this.sim.chance(this.loss)) return null;
+    if (!to.election || !to.userRequests || !this.connected(from, to) || this.sim.chance(this.loss))
+      return null;
     await this.sim.pause(Math.max(0, to.stalledUntil - this.sim.at));
-    const { election, door, life } = to;
-    if (!election || !door) return null;
+    const { election, userRequests, life } = to;
+    if (!election || !userRequests) return null;
     const reply = await new Promise<MeshReply>((resolve) => {
       if (request.kind === 'promise')
         void election.promise(request).then((given) => resolve({ kind: given ? 'promised' : 'unable' }));
       else if (request.kind === 'ping' || request.kind === 'workers') resolve({ kind: 'here' });
       else if (request.kind === 'polls') resolve({ kind: 'unable' });
-      else door.onMesh(request, resolve);
+      else userRequests.onMesh(request, resolve);
     });
     await delay();
     return to.life === life && this.connected(from, to) && !this.sim.chance(this.loss) ? reply : null;
--- a/test/mesh/reach.test.ts
+++ b/test/mesh/connectivity.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
-import { Reach } from '../../src/mesh/reach.ts';
+import { Connectivity } from '../../src/mesh/connectivity.ts';
 import { FakeClock } from '../helpers.ts';
 
 /** A node asked once a second, for a while, with the store and the others there or not. */
@@ -12,7 +12,7 @@
   const clock = new FakeClock();
   let servedAt = 0;
   let there = { store, peers };
-  const reach = new Reach({
+  const reach = new Connectivity({
     clock,
     storeServedAt: () => servedAt,
     askStore: () => {
--- a/test/sim/days.ts
+++ b/test/sim/days.ts
@@ -1,4 +1,4 @@
-import type { Logger } from '../../src/core/log.ts';
+import type { Logger } from '../../src/base/log.ts';
 import { check, trail, type Violation } from '../../src/sim/checker.ts';
 import { Emulator, type Day, type Scenario } from '../../src/sim/emulator.ts';
 import type { Fault } from '../../src/sim/faults.ts';
--- a/test/workers/roster.test.ts
+++ b/test/workers/machine-registry.test.ts
@@ -3,7 +3,7 @@
 import fc from 'fast-check';
 import type { WriteJob } from '../../src/store/writer.ts';
 import type { MachineIdentity } from '../../src/workers/machine.ts';
-import { Roster } from '../../src/workers/roster.ts';
+import { MachineRegistry } from '../../src/workers/machine-registry.ts';
 import { SEED } from '../helpers.ts';
 
 const PAGE = 400;
@@ -42,8 +42,8 @@
   }
 }
 
-const make = (store: SlowStore): Roster =>
-  new Roster({
+const make = (store: SlowStore): MachineRegistry =>
+  new MachineRegistry({
     pageBytes: PAGE,
     push: (job) => store.queue.push(job),
     post: (command) => {
