A job takes the machines that it failed on again after 30 s; delays are never shortened

Cause: the machines on which a job had failed once or twice were avoided for good. If no other fits and none can be rented the job waited for ever although one of them had room. And a refusal because the worker didn't know the job yet cut a failing job's backoff to 2 s. Change: avoided for 30 s after the last failure; the later of two delays counts. Test: leader/leader.test.ts, seen to fail without the first.

--- a/src/leader/attempts.ts
+++ b/src/leader/attempts.ts
@@ -12,6 +12,8 @@
 
 const ATTEMPTS_PER_TERM = 2 ** 24;
 const BEGUN_STEP = 16;
+/** A worker couldn't fetch the job's description yet. */
+const UNKNOWN_JOB_PAUSE_MS = 2000;
 
 /** Starts of tasks, and what workers' news mean for jobs. */
 export class Attempts {
@@ -164,7 +166,7 @@
     } else if (job.state[a.task] === ASSIGNED && others === 0) {
       job.giveBack(a.task, this.now());
       if (a.cause === 'error') this.onError(job, a);
-      else if (a.cause === 'unknown') job.notBefore = this.now() + 2000;
+      else if (a.cause === 'unknown') this.delay(job, UNKNOWN_JOB_PAUSE_MS);
     }
     if (job.spec.gang) this.gangs.leave(job, a);
     if (job.final) this.cluster.forgetIfEmpty(job);
@@ -182,12 +184,17 @@
     machine.fetchingUntil = Math.max(this.now(), ...machine.images.values());
   }
 
+  /** Starts no task of the job for so long; a longer delay that was set before stays. */
+  private delay(job: Job, ms: number): void {
+    job.notBefore = Math.max(job.notBefore, this.now() + ms);
+  }
+
   /** Notes the failure for the job and the machine, and spaces the job's attempts (`failure-attribution.ts`). */
   private onError(job: Job, a: Attempt): void {
     const now = this.now();
     const { machine } = a;
     recordFailure(job.failures, machine.failures, machine.index, a.assignedAt, now);
-    job.notBefore = Math.max(job.notBefore, now + retryDelayMs(job.failures));
+    this.delay(job, retryDelayMs(job.failures));
     const failing = isFailing(job.failures);
     // A job that fails everywhere is tried anywhere.
     if (failing) job.avoid.clear();
--- a/src/leader/planning-views.ts
+++ b/src/leader/planning-views.ts
@@ -52,6 +52,10 @@
 const JUST_STARTED_MS = 30_000;
 const JUST_STARTED_S = 5;
 const NO_MACHINES: ReadonlySet<number> = new Set();
+/**
+ * So long after its last failure a job takes the machines that it failed on again: they may be the only ones that fit.
+ */
+const AVOID_MS = 30_000;
 /** Reports that a machine may leave out and still be given work; one may have been overtaken by a direct answer. */
 const MOST_REPORTS_MISSED = 2.5;
 /** Cost steps of a machine for each job that has failed on it. */
@@ -385,7 +389,7 @@
         rents: !probe || now - job.notBefore > PROBE_RENTS_AFTER_MS,
         image: spec.image,
         imageGb: spec.imageGb,
-        avoid: job.avoid,
+        avoid: now - job.failures.lastStrikeAt > AVOID_MS ? NO_MACHINES : job.avoid,
         only: job.aim && now <= job.aim.until ? job.aim.machine : -1,
         roomMade: job.roomMade && now <= job.roomMade.until ? job.roomMade.machines : NO_MACHINES,
         patienceS,
--- a/test/leader/leader.test.ts
+++ b/test/leader/leader.test.ts
@@ -217,3 +217,21 @@
   h.load([], []);
   assert.deepEqual(h.leader.onReport(report), []);
 });
+
+test('a job that failed on the only machine that fits is tried there again within 90 s', async () => {
+  // The machines that a job had failed on were avoided for good, and it waited although one of them had room.
+  const h = new LeaderHarness();
+  const worker = h.worker('n-1', 'a');
+  const job = jobOf('req-000001', { loaves: 1 });
+  // Keeps the machine from being given back.
+  const other = jobOf('req-000002', { loaves: 1 });
+  h.load([job, other], [['n-1', 'a']]);
+  await h.pass(15);
+  assert.deepEqual(worker.running(job.id), [0]);
+  const first = [...worker.tasks.values()].find((t) => t.jobId === job.id)!;
+  worker.put({ ...first, phase: 'ended', cause: 'error' });
+  await h.pass(10);
+  assert.deepEqual(worker.running(job.id), [], 'another machine is waited for at first');
+  await h.pass(75);
+  assert.deepEqual(worker.running(job.id), [0]);
+});
