--- a/test/sim/safety.test.ts
+++ b/test/sim/safety.test.ts
@@ -81,6 +81,7 @@
     const waited = day.firstStartS.get(uid)! - atS;
     assert.ok(waited < 240, `${uid} began after ${waited} s`);
   }
+  assert.equal(day.told.size, jobs.length);
   for (const stage of day.told.values()) assert.equal(stage, 'done');
 });
 
@@ -102,6 +103,7 @@
     const day = await play({ seed: seed * 104729, faults, jobs, endS: 110, always: AMBIENT });
     assert.equal(describe(day), '');
     // The troubles go on until after the end, and yet everything was done in time.
+    assert.equal(day.told.size, jobs.length);
     for (const [uid, stage] of day.told) assert.equal(stage, 'done', `${uid}, seed ${seed}`);
   }
 });
@@ -115,6 +117,7 @@
     assert.equal(describe(day), '');
     assert.equal(day.leaders, 2);
     assert.equal(day.started, 16, 'nothing was started twice for having been lost');
+    assert.equal(day.told.size, jobs.length);
     for (const stage of day.told.values()) assert.equal(stage, 'done');
   }
 });
