A test process that stays alive after its end fails and names what is open

Cause: test runs hung twice after all tests of the service had passed, for reasons not found: 112 runs in a loop ended. Change: 30 s after everything was stopped, the process says what is still open and fails.

--- a/test/controller/service.test.ts
+++ b/test/controller/service.test.ts
@@ -48,10 +48,18 @@
   }
 });
 
+/** What is still going on this long after everything was stopped would go on for ever. */
+const ENDED_MS = 30_000;
+
 after(() => {
   service.stop();
   state.stop();
   cloud.stop();
+  // Seen twice in some hundred runs: the process stayed, and the whole test run waited for it without a word.
+  setTimeout(() => {
+    console.error('still open after the end:', process.getActiveResourcesInfo().join(', '));
+    process.exit(1);
+  }, ENDED_MS).unref();
 });
 
 test('a job is accepted once and then answered with its state', async () => {
