--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -25,6 +25,12 @@
 import type { Clock } from '../base/clock.ts';
 import { NameIndex } from '../base/name-index.ts';
 import { Leader } from '../leader/leader.ts';
+import {
+  followJobRecords,
+  readStoredState,
+  type JobRecordListener,
+  type StoredState,
+} from '../leader/stored-state.ts';
 import { EventLoopLag } from '../base/event-loop-lag.ts';
 import type { Logger } from '../base/log.ts';
 import { CommandQueue } from '../base/command-queue.ts';
@@ -34,6 +40,8 @@
 const TICK_MS = 200;
 const PROMISE_WAIT_MS = 700;
 const REACH_CHECK_MS = 1000;
+/** Pause before a new leader reads the state service again. */
+const STATE_RETRY_MS = 200;
 /** After all others were of no help they are not asked again for so long: troubles may be everybody's. */
 const OTHERS_PAUSE_MS = 1000;
 /** How long a node that has lost its workers doesn't stand for leader. */
@@ -442,59 +450,40 @@
     });
     this.leader = leader;
     this.keepCatalog(writer);
-    let revision = -1;
-    while (this.isCurrent(held) && revision < 0) {
-      // All at once: until they are read, the leases of workers with tasks are not renewed.
-      const [open, finished, begun, roster] = await Promise.all([
-        this.store.list(KEYS.openPrefix, 'lease'),
-        this.store.list(KEYS.finishedPrefix, 'lease'),
-        this.store.list(KEYS.begunPrefix, 'lease'),
-        this.store.list(KEYS.machinePrefix, 'lease'),
-      ]);
-      if (open.kind === 'ok' && finished.kind === 'ok' && begun.kind === 'ok' && roster.kind === 'ok') {
-        revision = open.value.revision;
-        this.owner.post(() => {
-          if (this.leader === leader) {
-            leader.load({
-              open: open.value.items,
-              finished: finished.value.items,
-              begun: begun.value.items,
-              roster: roster.value.items,
-            });
-          }
+    const stored = await this.readState(held);
+    if (!stored) return;
+    const whileLeading = (step: () => void): void => {
+      this.owner.post(() => {
+        if (this.leader === leader) step();
+      });
+    };
+    whileLeading(() => {
+      leader.load(stored);
+    });
+    const listener: JobRecordListener = {
+      active: () => this.isCurrent(held),
+      changed: (events) => {
+        whileLeading(() => {
+          leader.onStoreEvents(events);
         });
-      } else {
-        await pause(200);
-      }
-    }
-    await this.watchJobs(held, leader, revision);
+      },
+      listed: (items) => {
+        whileLeading(() => {
+          leader.onStoreListed(items);
+        });
+      },
+    };
+    await followJobRecords(this.store, stored.revision, listener, pause);
   }
 
-  private async watchJobs(held: Leadership, leader: Leader, from: number): Promise<void> {
-    let revision = from;
+  /** Tries until all is read; null: this leadership is over. */
+  private async readState(held: Leadership): Promise<StoredState | null> {
     while (this.isCurrent(held)) {
-      const watched = await this.store.watch(KEYS.openPrefix, revision, 20_000);
-      if (!this.isCurrent(held)) return;
-      if (watched.kind === 'ok') {
-        revision = watched.value.revision;
-        const { events } = watched.value;
-        if (events.length > 0) {
-          this.owner.post(() => {
-            if (this.leader === leader) leader.onStoreEvents(events);
-          });
-        }
-        continue;
-      }
-      await this.pause(200);
-      if (watched.kind !== 'gone') continue;
-      const listed = await this.store.list(KEYS.openPrefix, 'lease');
-      if (listed.kind !== 'ok') continue;
-      revision = listed.value.revision;
-      const { items } = listed.value;
-      this.owner.post(() => {
-        if (this.leader === leader) leader.onStoreListed(items);
-      });
+      const stored = await readStoredState(this.store);
+      if (stored) return stored;
+      await this.pause(STATE_RETRY_MS);
     }
+    return null;
   }
 
   // ---- requests ----
--- /dev/null
+++ b/src/leader/job-groups.ts
@@ -0,0 +1,192 @@
+import type { Job } from '../jobs/job.ts';
+import { MeanWork } from '../scheduling/mean-work.ts';
+import { shareGuarantees, type GuaranteeLeft } from '../scheduling/urgency.ts';
+import { fits, roomOf, type GroupView } from '../scheduling/view.ts';
+import type { JobRequest } from '../wire/user.ts';
+import { isFailing } from '../workers/failure-attribution.ts';
+import type { Cluster } from './cluster.ts';
+import type { GuestWork } from './guest-work.ts';
+import { slackOf } from './job-slack.ts';
+import type { PlanningDeps, PlanningSources } from './planning-sources.ts';
+
+/** With so many tasks a job that has waited long begins. */
+const FIRST_TASKS = 4;
+/** Longer than any job waits. */
+const LONGEST_MS = 1e9;
+const NO_MACHINES: ReadonlySet<number> = new Set();
+/**
+ * So long after its last failure a job takes the machines that it failed on again: they may be the only ones that fit.
+ */
+const AVOID_MS = 30_000;
+/** A failing job that has found no room on a present machine for so long may have one rented. */
+const PROBE_RENTS_AFTER_MS = 60_000;
+
+/** The jobs that wait, as a round sees them: a group of equal tasks for each. */
+export class JobGroups {
+  private readonly c: Cluster;
+
+  constructor(
+    private readonly sources: PlanningSources,
+    private readonly deps: PlanningDeps,
+    private readonly guests: GuestWork,
+  ) {
+    this.c = sources.cluster;
+  }
+
+  /** Jobs that fit their team's guarantee together with the team's earlier unfinished ones. */
+  guaranteedJobs(): Set<Job> {
+    const found = new Set<Job>();
+    const used = this.deps.teams.map(() => ({ cpus: 0, gpus: 0 }));
+    const ordered = [...this.c.jobs.values()].filter((j) => j.ending === null);
+    ordered.sort((a, b) => a.createdWall - b.createdWall);
+    for (const job of ordered) {
+      const team = this.deps.teams[job.team]!;
+      const sum = used[job.team]!;
+      const left = job.spec.tasks - job.doneCount;
+      sum.cpus += job.spec.cpus * left;
+      sum.gpus += job.spec.gpus * left;
+      const gpus = job.spec.gpus === 0 || sum.gpus <= team.gpus + 1e-9;
+      const cpus = team.cpus === 0 ? job.spec.gpus > 0 : sum.cpus <= team.cpus + 1e-9;
+      if (gpus && cpus) found.add(job);
+    }
+    return found;
+  }
+
+  /** The only zone in which a job may be, or -1: its own, or the one in which room is being made for it. */
+  private zoneOf(job: Job, now: number): number {
+    const { spec, roomMade } = job;
+    if (spec.zone !== null) return this.deps.zones.index(spec.zone);
+    // Choosing another zone meanwhile, a gang stopped others in both, again and again.
+    return spec.oneZone && roomMade && now <= roomMade.until ? roomMade.zone : -1;
+  }
+
+  /** The groups of all jobs that wait. */
+  groups(): GroupView[] {
+    const now = this.deps.host.clock.now();
+    const accounted = this.c.allAccounted();
+    const guaranteed = this.guaranteedJobs();
+    const groups: GroupView[] = [];
+    const { scheduling } = this.deps.options;
+    const work = new MeanWork();
+    for (const [index, job] of this.c.jobList) {
+      if (job.ending !== null || job.pendingCount === 0 || now < job.notBefore) continue;
+      const able = accounted ? job.pendingCount : job.surelyPending();
+      if (able === 0) continue;
+      const live = this.c.liveOf.get(job)?.size ?? 0;
+      if (job.spec.gang && (this.c.gangs.has(job) || live > 0)) continue;
+      const probe = isFailing(job.failures);
+      if (probe && live > 0) continue;
+      const spec = job.spec;
+      const waitedMs = now - job.waitingSince;
+      // Under a backlog who is late soonest goes first, whoever comes: nothing bounds the wait for a first task. A few
+      // first tasks go before everything else of their rank; the rest takes its turn.
+      const starving = !spec.gang && job.untouched && waitedMs > scheduling.begin_after_s * 1000;
+      let pending = starving ? Math.min(able, FIRST_TASKS) : able;
+      // One task shows whether the job still fails; of a gang all are needed for that.
+      if (probe && !spec.gang) pending = 1;
+      const { slackS, patienceS, perTask } = slackOf(job, guaranteed.has(job), this.deps);
+      const guest = this.guests.isGuest(job);
+      // Nothing is expected of its class at any time.
+      const idle = guest && slackS === Infinity;
+      const liveByZone = new Map<number, number>();
+      if (spec.oneZone || spec.spread) {
+        for (const a of this.c.liveOf.get(job) ?? []) {
+          liveByZone.set(a.machine.zone, (liveByZone.get(a.machine.zone) ?? 0) + 1);
+        }
+      }
+      groups.push({
+        job: index,
+        team: job.team,
+        pending,
+        gang: spec.gang,
+        priority: spec.priority,
+        need: roomOf(spec),
+        types: spec.types ? new Set(spec.types.map((t) => this.deps.catalog.typeIndex(t))) : null,
+        zone: this.zoneOf(job, now),
+        spot: spec.spot,
+        // A single task is in one zone whatever its job says, so the flow may choose among all.
+        oneZone: spec.oneZone && spec.tasks > 1,
+        zoneHint: job.zoneHint,
+        zoneCap: spec.spread ? Math.ceil(spec.tasks / 2) : Infinity,
+        liveByZone,
+        quick: this.sources.forecast.watches(spec.className),
+        expected: false,
+        waitedMs: probe ? 0 : starving ? LONGEST_MS + waitedMs : waitedMs,
+        probe,
+        guest: guest && !starving,
+        rentPriceMost: idle ? this.guests.worthOf(job) : Infinity,
+        rents: !probe || now - job.notBefore > PROBE_RENTS_AFTER_MS,
+        image: spec.image,
+        imageGb: spec.imageGb,
+        avoid: now - job.failures.lastStrikeAt > AVOID_MS ? NO_MACHINES : job.avoid,
+        only: job.aim && now <= job.aim.until ? job.aim.machine : -1,
+        roomMade: job.roomMade && now <= job.roomMade.until ? job.roomMade.machines : NO_MACHINES,
+        patienceS,
+        slackS,
+        guaranteed: false,
+        size: 0,
+      });
+      work.note(groups.at(-1)!, spec.className, job.pendingCount * spec.estimateS, perTask || spec.gang);
+    }
+    work.giveSizes();
+    shareGuarantees(groups, this.guaranteesLeft(), scheduling.reserve_after_s * 1000);
+    return groups;
+  }
+
+  private guaranteesLeft(): GuaranteeLeft[] {
+    return this.deps.teams.map((team, i) => ({
+      cpus: team.cpus > 0 ? team.cpus - this.c.usage[i]!.cpus : null,
+      gpus: team.gpus - this.c.usage[i]!.gpus,
+    }));
+  }
+
+  /** Room to keep at hand for classes that must start soon: groups like any other, but nothing is placed. */
+  expectedGroups(): GroupView[] {
+    const { scheduling } = this.deps.options;
+    const bootOf = (job: JobRequest): number => {
+      let best: { price: number; bootS: number } | null = null;
+      for (const type of this.deps.catalog.types) {
+        if (job.types && !job.types.includes(type.name)) continue;
+        if (fits(job, type) === 0) continue;
+        if (!best || type.price < best.price) best = type;
+      }
+      return best?.bootS ?? 0;
+    };
+    const expected = this.sources.forecast.expected(
+      this.deps.host.clock.wall(),
+      bootOf,
+      scheduling.spare_swing,
+    );
+    return expected.map((e, i) => ({
+      job: -1 - i,
+      team: this.deps.teams.length,
+      pending: e.tasks,
+      gang: false,
+      priority: 0,
+      need: roomOf(e.like),
+      types: e.like.types ? new Set(e.like.types.map((t) => this.deps.catalog.typeIndex(t))) : null,
+      zone: -1,
+      spot: e.like.spot,
+      oneZone: false,
+      zoneHint: -1,
+      zoneCap: Infinity,
+      liveByZone: new Map(),
+      quick: true,
+      expected: true,
+      waitedMs: 0,
+      probe: false,
+      rents: true,
+      guest: false,
+      rentPriceMost: Infinity,
+      image: e.like.image,
+      imageGb: 0,
+      avoid: new Set(),
+      only: -1,
+      roomMade: NO_MACHINES,
+      patienceS: scheduling.spare_patience_s,
+      slackS: Infinity,
+      guaranteed: false,
+      size: 0,
+    }));
+  }
+}
--- a/src/leader/leader.ts
+++ b/src/leader/leader.ts
@@ -1,5 +1,6 @@
 import type { Logger } from '../base/log.ts';
 import { Attempts } from './attempts.ts';
+import type { StoredState } from './stored-state.ts';
 import { Cluster } from './cluster.ts';
 import type { LeaderDeps } from './context.ts';
 import { Completion } from './completion.ts';
@@ -150,12 +151,8 @@
 
   // ---- taking over ----
 
-  load(found: {
-    open: readonly Item[];
-    finished: readonly Item[];
-    begun: readonly Item[];
-    roster: readonly Item[];
-  }): void {
+  /** Takes over what the state service holds. */
+  load(found: Omit<StoredState, 'revision'>): void {
     const malformed = (key: string): void => {
       this.log.error({ key }, 'a record is malformed');
     };
--- /dev/null
+++ b/src/leader/planning-sources.ts
@@ -0,0 +1,31 @@
+import type { Clock } from '../base/clock.ts';
+import type { NameIndex } from '../base/name-index.ts';
+import type { Options } from '../config/options.ts';
+import type { Settings } from '../config/settings.ts';
+import type { Catalog } from '../fleet/catalog.ts';
+import type { Fleet } from '../fleet/fleet.ts';
+import type { TeamLimits } from '../jobs/admission.ts';
+import type { ArrivalForecast } from '../scheduling/forecast.ts';
+import type { Cluster } from './cluster.ts';
+
+/** What a round is made of. */
+export interface PlanningSources {
+  readonly cluster: Cluster;
+  readonly fleet: Fleet;
+  readonly forecast: ArrivalForecast;
+  readonly quickImages: ReadonlySet<string>;
+}
+
+/** What planning needs besides: clock, settings and names. */
+export interface PlanningDeps {
+  host: { clock: Clock };
+  settings: Settings;
+  options: Options;
+  teams: readonly TeamLimits[];
+  zones: NameIndex;
+  catalog: Catalog;
+  term: number;
+}
+
+/** A task past its estimate is given this part of what it has run. */
+export const OUTLIVED_SHARE = 0.3;
--- /dev/null
+++ b/src/scheduling/mean-work.ts
@@ -0,0 +1,24 @@
+import type { GroupView } from './view.ts';
+
+/** The work that waits, of each job against what the jobs of its class have on average. */
+export class MeanWork {
+  private readonly noted: { group: GroupView; className: string; work: number; perTask: boolean }[] = [];
+
+  /** `work`: in seconds of tasks. `perTask`: what is expected is expected of each task, so size doesn't matter. */
+  note(group: GroupView, className: string, work: number, perTask: boolean): void {
+    this.noted.push({ group, className, work, perTask });
+  }
+
+  /** Sets each group's size: its work in times of its class's mean. */
+  giveSizes(): void {
+    const classes = new Map<string, { sum: number; count: number }>();
+    for (const { className, work } of this.noted) {
+      const known = classes.get(className) ?? { sum: 0, count: 0 };
+      classes.set(className, { sum: known.sum + work, count: known.count + 1 });
+    }
+    for (const { group, className, work, perTask } of this.noted) {
+      const { sum, count } = classes.get(className)!;
+      if (!perTask && sum > 0) group.size = (work * count) / sum;
+    }
+  }
+}
