--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -15,7 +15,7 @@
 import type { MeshReply, MeshRequest, PollAnswer } from '../mesh/frames.ts';
 import { askAny } from '../mesh/ask.ts';
 import { Connectivity } from '../mesh/connectivity.ts';
-import { LEADER_WRITES, RateBudget, submissionsPerSecond } from '../store/budget.ts';
+import { LEADER_WRITES, RateBudget, submissionBudget } from '../store/budget.ts';
 import { moreUrgent, StoreClient, type StoreResult, type Urgency } from '../store/client.ts';
 import { KEYS } from '../store/keys.ts';
 import { LeaderWriter } from '../store/writer.ts';
@@ -159,7 +159,7 @@
           this.store.txn(conditions, changes, urgency, timeoutMs),
       },
       finals: this.finals,
-      submissions: new RateBudget(submissionsPerSecond(state.write_rps, settings.settings.nodes), now),
+      submissions: submissionBudget(state.write_rps, settings.settings.nodes, now),
       teams: this.teams,
       catalog: () => this.catalog,
       leader: () => this.localLeader(),
--- a/src/store/budget.ts
+++ b/src/store/budget.ts
@@ -5,10 +5,14 @@
 export const LEADER_WRITES = 0.6;
 /** All nodes' shares of the submissions together, in times of their part: few nodes have all users. */
 const SUBMISSIONS_OVERCOMMITTED = 1.5;
+/** Submissions come in bursts: so many seconds' worth of a node's share may be used at once. */
+const SUBMISSIONS_BURST_S = 3;
 
-/** New jobs a second that one node may write. */
-export function submissionsPerSecond(writesPerSecond: number, nodes: number): number {
-  return (writesPerSecond * (1 - LEADER_WRITES) * Math.min(nodes, SUBMISSIONS_OVERCOMMITTED)) / nodes;
+/** The new jobs that one node may write: its share of the changes that the leader leaves. */
+export function submissionBudget(writesPerSecond: number, nodes: number, now: () => number): RateBudget {
+  const shares = Math.min(nodes, SUBMISSIONS_OVERCOMMITTED);
+  const perSecond = (writesPerSecond * (1 - LEADER_WRITES) * shares) / nodes;
+  return new RateBudget(perSecond, now, Math.max(1, perSecond * SUBMISSIONS_BURST_S));
 }
 
 /** A bucket of permits per second with a burst of one second's worth, on an injected clock. */
--- /dev/null
+++ b/test/store/budget.test.ts
@@ -0,0 +1,27 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import { LEADER_WRITES, submissionBudget } from '../../src/store/budget.ts';
+import { FakeClock } from '../helpers.ts';
+
+test('submissions may come in a burst, and in the long run leave the leader its writes', () => {
+  // With a burst of one second's share, jobs that came together were refused by a service that had nothing to do.
+  const clock = new FakeClock();
+  const [writesPerSecond, nodes] = [30, 5];
+  const budgets = Array.from({ length: nodes }, () =>
+    submissionBudget(writesPerSecond, nodes, () => clock.now()),
+  );
+  const take = (): number => {
+    let taken = 0;
+    for (const budget of budgets) while (budget.take()) taken += 1;
+    return taken;
+  };
+  const share = writesPerSecond * (1 - LEADER_WRITES);
+  assert.ok(take() >= 3 * share, 'at once');
+  let taken = 0;
+  for (let second = 0; second < 60; second++) {
+    clock.at += 1000;
+    taken += take();
+  }
+  assert.ok(taken <= 60 * share * 1.5 + nodes, `${taken} in a minute`);
+  assert.ok(taken >= 60 * share, `${taken} in a minute`);
+});
