--- a/test/sim/safety.test.ts
+++ b/test/sim/safety.test.ts
@@ -148,7 +148,7 @@
   ];
   // Work from the start on keeps machines of both zones.
   const jobs = [...jobsAt([2, 2], { tasks: 2 }), ...jobsAt([2, 2, 2, 2], {})];
-  const found = await compare({ roster: true }, { faults, jobs, endS: 100 }, 8);
+  const found = await compare({ roster: true }, { faults, jobs, endS: 170 }, 12);
   assert.equal(found.with, '');
   assert.ok(found.without > 0);
 });
