A leader serves user requests as it is; one closure says whether it surely leads

The wrapper around the leader repeated its methods one by one, the check of the sure lease stood twice beside itself, and a submission's age was compared by way of a made-up finding.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -4,7 +4,7 @@
 import { CloudClient } from '../fleet/cloud.ts';
 import { AdaptiveLimit, USER_SLACK_MS, WORKER_SLACK_MS } from '../http/limit.ts';
 import { failure, type Answer, type HttpRequest, type Reply } from '../http/server.ts';
-import { UserRequests, type LocalLeader } from '../jobs/user-requests.ts';
+import { UserRequests } from '../jobs/user-requests.ts';
 import { EndWrites } from '../jobs/end-writes.ts';
 import { FinalCache } from '../jobs/finals.ts';
 import type { TeamLimits } from '../jobs/admission.ts';
@@ -162,7 +162,7 @@
       submissions: submissionBudget(state.write_rps, settings.settings.nodes, now),
       teams: this.teams,
       catalog: () => this.catalog,
-      leader: () => this.localLeader(),
+      leader: () => this.leader,
       actAlone: (urgency) => this.election.actAlone(urgency),
       askLeader: (request, timeoutMs) =>
         request.kind === 'poll' ? this.polls.ask(request.jobId) : this.askLeader(request, timeoutMs),
@@ -310,19 +310,6 @@
 
   // ---- leadership ----
 
-  private localLeader(): LocalLeader | null {
-    const leader = this.leader;
-    if (!leader) return null;
-    return {
-      term: leader.term,
-      view: (id) => leader.view(id),
-      cancel: (id, settled) => leader.cancel(id, settled),
-      created: (id, value) => {
-        leader.created(id, value);
-      },
-    };
-  }
-
   /**
    * A leader that has lost its workers, and only those, must not go on leading: it would call them silent and
    * give their machines back, while they try one controller after the other and are sent to it.
@@ -409,15 +396,15 @@
       new RateBudget(state.write_rps * LEADER_WRITES, () => this.clock.now()),
       this.log,
     );
+    const surelyLeading = (): boolean => this.isCurrent(held) && this.election.surelyLeading();
     const leader: Leader = new Leader({
       host: {
         clock: this.clock,
         log: this.log,
-        surelyLeading: () => this.isCurrent(held) && this.election.surelyLeading(),
+        surelyLeading,
         order: (machine, commands) => {
           const starts = commands.some((c) => c.op === 'start');
-          const mayStart = (): boolean => this.isCurrent(held) && this.election.surelyLeading();
-          return this.workers.order(machine, held.term, commands, starts ? mayStart : () => true);
+          return this.workers.order(machine, held.term, commands, starts ? surelyLeading : () => true);
         },
         inspect: (machine) => this.workers.inspect(machine),
         final: (id, status) => {
--- a/src/jobs/user-requests.ts
+++ b/src/jobs/user-requests.ts
@@ -17,7 +17,7 @@
 } from '../wire/user.ts';
 import { impossible, type TeamLimits } from './admission.ts';
 import type { FinalCache } from './finals.ts';
-import { isFinal, unlessOvertaken, type Finding, type LeaderView } from './knowledge.ts';
+import { isFinal, MAX_FINDING_AGE_MS, unlessOvertaken, type Finding, type LeaderView } from './knowledge.ts';
 import { finalValue, openValue, readFinal, readOpen } from './records.ts';
 
 /** What user requests need of the leadership on this node, if there is one. */
@@ -163,8 +163,7 @@
     if (result.kind !== 'ok') return { kind: 'unable' };
     // By a slow answer the job may be over already, and its user may have been told so elsewhere.
     const tookMs = this.deps.clock.now() - begunAt;
-    const timely = unlessOvertaken({ kind: 'status', status: PENDING }, tookMs).kind === 'status';
-    return timely ? { kind: 'created' } : this.look(job.id);
+    return tookMs <= MAX_FINDING_AGE_MS ? { kind: 'created' } : this.look(job.id);
   }
 
   // ---- state ----
