Followers hand reports on while the leader has more workers than it can serve

Change: a leader that knows more machines than its processor share and sockets carry asks followers to hand reports on in batches. Workers beyond the leader's share are sent to a follower. A leader that hears machines only by way of others and reaches none itself leaves the lead.

--- a/src/config/options.ts
+++ b/src/config/options.ts
@@ -95,6 +95,13 @@
       'intervals',
       'report intervals of silence after which a machine is returned',
     ),
+    reports_per_core_s: tunable(
+      2500,
+      0.01,
+      1_000_000,
+      'reports/s',
+      'reports that a leader on a whole core answers alone; beyond that followers hand reports on to it',
+    ),
     save_margin_s: tunable(4, 0, 60, 's', 'time kept beside the saving time when a machine is taken away'),
   },
   fleet: {
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -20,7 +20,6 @@
 import { KEYS } from '../store/keys.ts';
 import { LeaderWriter } from '../store/writer.ts';
 import type { Item } from '../wire/state.ts';
-import { encodeReportAnswer, encodeReportTo, ReportDecoder } from '../wire/worker.ts';
 import { WorkerClient } from '../workers/client.ts';
 import type { Clock } from '../base/clock.ts';
 import { NameIndex } from '../base/name-index.ts';
@@ -32,16 +31,13 @@
   type StoredState,
 } from '../leader/stored-state.ts';
 import { EventLoopLag } from '../base/event-loop-lag.ts';
-import { CountedLog, type Logger } from '../base/log.ts';
+import type { Logger } from '../base/log.ts';
 import { CommandQueue } from '../base/command-queue.ts';
 import type { Platform } from './platform.ts';
+import { ReportHandler } from './reports.ts';
 import { Routes } from './routes.ts';
 
 const TICK_MS = 200;
-/** Report intervals after which the text of a machine's last report is dropped. */
-const REPORTS_KEPT = 6;
-/** Least time between two log lines about malformed reports; the lines between are counted. */
-const MALFORMED_LOG_MS = 1000;
 const PROMISE_WAIT_MS = 700;
 const REACH_CHECK_MS = 1000;
 /** Pause before a new leader reads the state service again. */
@@ -79,13 +75,10 @@
   private readonly polls: PollBatcher;
   private othersFailedAt = -Infinity;
   private askedOthersAt = -Infinity;
-  /** When a worker last tried to report here. */
-  private reportedAt = -Infinity;
   private readonly teams: TeamLimits[];
   private readonly zones: NameIndex;
   private readonly routes: Routes;
-  private readonly reports: ReportDecoder;
-  private readonly malformedReports: CountedLog;
+  private readonly reports: ReportHandler;
   private readonly graceMs: number;
   private catalog: Catalog | null = null;
   private leader: Leader | null = null;
@@ -120,8 +113,6 @@
       now,
       log,
     );
-    this.reports = new ReportDecoder(now, workers.report_s * 1000 * REPORTS_KEPT);
-    this.malformedReports = new CountedLog(now, MALFORMED_LOG_MS);
     const { sockets } = settings.settings.limits;
     this.workers = new WorkerClient(platform.network.shared(orderSockets(sockets)));
     this.cloud = new CloudClient(
@@ -213,6 +204,20 @@
           }
         : null,
     );
+    this.reports = new ReportHandler({
+      node: settings.host_name,
+      settings: settings.settings,
+      options,
+      log,
+      orderSockets: orderSockets(sockets),
+      now,
+      after,
+      leader: () => this.leader,
+      knownLeader: () => this.election.leader(),
+      unsureForMs: () => this.election.unsureForMs(),
+      graceMs: this.graceMs,
+      ask: (peer, request, timeoutMs) => peers.ask(peer, request, timeoutMs),
+    });
     const limit = (initial: number, min: number, max: number, slackMs: number): AdaptiveLimit =>
       new AdaptiveLimit(now, { initial, min, max, slackMs, tolerance: 4 });
     const { users_min, users_max, polls_min, polls_max, workers_min, workers_max } = options.http;
@@ -228,7 +233,7 @@
         this.owner.post(command);
       },
       onReport: (body, reply) => {
-        this.onReport(body, reply);
+        this.reports.onReport(body, reply);
       },
       health: () => this.health(),
     });
@@ -270,7 +275,7 @@
         return;
       }
       if (request.kind === 'workers') {
-        const lately = this.clock.now() - this.reportedAt < this.settings.settings.workers.report_s * 1000;
+        const lately = this.reports.directReportAgeMs() < this.settings.settings.workers.report_s * 1000;
         reply({ kind: lately ? 'here' : 'unable' });
         return;
       }
@@ -278,6 +283,10 @@
         reply({ kind: 'answers', answers: this.answerPolls(request.jobIds) });
         return;
       }
+      if (request.kind === 'reports') {
+        this.reports.onRelayed(request.node, request.reports, reply);
+        return;
+      }
       if (request.kind !== 'promise') {
         this.userRequests.onMesh(request, reply);
         return;
@@ -429,6 +438,7 @@
           this.endLeadership(held, 'a worker has seen a higher token');
         },
         lagMs: () => this.lag.ms(),
+        directReportAgeMs: () => this.reports.directReportAgeMs(),
         hearsNobody: () => {
           void this.leaveToOthers(held);
         },
@@ -488,35 +498,4 @@
     if (!this.catalog) return failure(503, 'starting', 1);
     return this.reach.cutOff() ? failure(503, 'cut off', 1) : { status: 200, body: '{}' };
   }
-
-  private logMalformedReport(reason: string): void {
-    this.malformedReports.note((unlogged) => {
-      this.log.error({ reason, unlogged }, 'malformed report');
-    });
-  }
-
-  private onReport(body: string, reply: Reply): void {
-    this.reportedAt = this.clock.now();
-    const leader = this.leader;
-    // Without a look at the report: between two leaders all workers ask every node each second.
-    if (!leader) {
-      const known = this.election.leader();
-      reply({ status: 421, body: encodeReportTo(known === this.settings.host_name ? null : known) });
-      return;
-    }
-    const decoded = this.reports.decode(body);
-    if (!decoded.ok) {
-      this.logMalformedReport(decoded.reason);
-      reply(failure(400, decoded.reason));
-      return;
-    }
-    // While the lease is not sure, work is kept alive for a bounded time; nothing new starts.
-    if (this.election.unsureForMs() > this.graceMs) {
-      reply({ status: 421, body: encodeReportTo(null) });
-      return;
-    }
-    const commands = leader.onReport(decoded.value);
-    if (commands === null) reply({ status: 421, body: encodeReportTo(null) });
-    else reply({ status: 200, body: encodeReportAnswer(leader.term, commands) });
-  }
 }
--- /dev/null
+++ b/src/controller/reports.ts
@@ -0,0 +1,151 @@
+import type { Options } from '../config/options.ts';
+import type { Settings } from '../config/settings.ts';
+import { CountedLog, type Logger } from '../base/log.ts';
+import { socketShares } from '../http/connections.ts';
+import { failure, type Answer, type Reply } from '../http/server.ts';
+import type { Leader } from '../leader/leader.ts';
+import type { MeshReply, MeshRequest } from '../mesh/frames.ts';
+import { ReportRelay, type BatchAnswer } from '../relay/report-relay.ts';
+import { WorkerShares, workersCarried } from '../relay/worker-shares.ts';
+import { encodeReportAnswer, encodeReportTo, ReportDecoder } from '../wire/worker.ts';
+
+/** Report intervals after which the text of a machine's last report is dropped. */
+const REPORTS_KEPT = 6;
+/** Least time between two log lines about malformed reports; the lines between are counted. */
+const MALFORMED_LOG_MS = 1000;
+/** Report intervals in which a new leader hears of its machines. */
+const SETTLING_REPORTS = 3;
+
+export interface ReportHandlerDeps {
+  node: string;
+  settings: Settings['settings'];
+  options: Options;
+  log: Logger;
+  /** Sockets that commands to workers may use. */
+  orderSockets: number;
+  now(): number;
+  after(ms: number, run: () => void): void;
+  /** The leadership of this controller, if it leads. */
+  leader(): Leader | null;
+  /** Who leads, as far as is known here. */
+  knownLeader(): string | null;
+  /** Milliseconds since the lease was last sure. */
+  unsureForMs(): number;
+  graceMs: number;
+  ask(peer: string, request: MeshRequest, timeoutMs: number): Promise<MeshReply | null>;
+}
+
+/** Workers' reports on any controller: the leader judges them, a follower hands them on or sends workers to it. */
+export class ReportHandler {
+  private readonly decoder: ReportDecoder;
+  private readonly malformed: CountedLog;
+  private readonly relay: ReportRelay;
+  private readonly shares: WorkerShares;
+  private reportedAt = -Infinity;
+  private settling: { leader: Leader; untilMs: number } | null = null;
+
+  constructor(private readonly deps: ReportHandlerDeps) {
+    const { settings, options, now } = deps;
+    const { workers, limits } = settings;
+    this.decoder = new ReportDecoder(now, workers.report_s * 1000 * REPORTS_KEPT);
+    this.malformed = new CountedLog(now, MALFORMED_LOG_MS);
+    this.relay = new ReportRelay({
+      now,
+      after: deps.after,
+      leader: deps.knownLeader,
+      send: (leader, reports, timeoutMs) => this.handOn(leader, reports, timeoutMs),
+      keepMs: workers.lease_s * 1000,
+    });
+    const carried = workersCarried({
+      reportsPerCoreS: options.workers.reports_per_core_s,
+      cores: limits.cores,
+      connections: socketShares(limits.sockets, deps.orderSockets).crowded,
+      reportS: workers.report_s,
+    });
+    this.shares = new WorkerShares(now, carried, workers.report_s * 1000);
+  }
+
+  /** Milliseconds since a worker last reported to this controller itself. */
+  directReportAgeMs(): number {
+    return this.deps.now() - this.reportedAt;
+  }
+
+  /** A report of a worker that is connected to this controller. */
+  onReport(body: string, reply: Reply): void {
+    this.reportedAt = this.deps.now();
+    const leader = this.deps.leader();
+    if (!leader) {
+      this.onFollower(body, reply);
+      return;
+    }
+    const other = this.shares.referTo(leader.machineCount ?? 0);
+    reply(other === null ? this.judge(leader, body) : { status: 421, body: encodeReportTo(other) });
+  }
+
+  /** Reports that a follower hands on; answered in their order. */
+  onRelayed(follower: string, bodies: readonly string[], reply: (reply: MeshReply) => void): void {
+    const leader = this.deps.leader();
+    const machines = leader?.machineCount ?? null;
+    // Until the state is read nothing is known, not even whether followers are to go on.
+    if (!leader || machines === null) {
+      reply({ kind: 'unable' });
+      return;
+    }
+    this.shares.noteRelayed(follower, bodies.length);
+    const judged = bodies.map((body) => {
+      const { status, body: text } = this.judge(leader, body);
+      return { status, body: text };
+    });
+    const goOn = bodies.length > 0 && this.isSettling(leader);
+    reply({ kind: 'judged', relay: this.shares.relay(machines) || goOn, judged });
+  }
+
+  /**
+   * A new leader hears of its machines one by one. Followers that hand reports on go on with it meanwhile, or all their
+   * workers would turn to the leader at once.
+   */
+  private isSettling(leader: Leader): boolean {
+    const now = this.deps.now();
+    if (this.settling?.leader !== leader) {
+      const untilMs = now + this.deps.settings.workers.report_s * 1000 * SETTLING_REPORTS;
+      this.settling = { leader, untilMs };
+    }
+    return now < this.settling.untilMs;
+  }
+
+  /** Without a look at the report: between two leaders all workers ask every controller each second. */
+  private onFollower(body: string, reply: Reply): void {
+    const { node } = this.deps;
+    if (this.relay.take(body, reply)) return;
+    const known = this.deps.knownLeader();
+    reply({ status: 421, body: encodeReportTo(known === node ? null : known) });
+  }
+
+  private async handOn(leader: string, reports: string[], timeoutMs: number): Promise<BatchAnswer | null> {
+    if (leader === this.deps.node) return null;
+    const request: MeshRequest = { kind: 'reports', node: this.deps.node, reports };
+    const answer = await this.deps.ask(leader, request, timeoutMs);
+    return answer?.kind === 'judged' && answer.judged.length === reports.length ? answer : null;
+  }
+
+  /** The leader's answer to a report, which holds for this moment only. */
+  private judge(leader: Leader, body: string): Answer {
+    const decoded = this.decoder.decode(body);
+    if (!decoded.ok) {
+      this.logMalformed(decoded.reason);
+      return failure(400, decoded.reason);
+    }
+    // While the lease is not sure, work is kept alive for a bounded time; nothing new starts.
+    if (this.deps.unsureForMs() > this.deps.graceMs) return { status: 421, body: encodeReportTo(null) };
+    const commands = leader.onReport(decoded.value);
+    return commands === null
+      ? { status: 421, body: encodeReportTo(null) }
+      : { status: 200, body: encodeReportAnswer(leader.term, commands) };
+  }
+
+  private logMalformed(reason: string): void {
+    this.malformed.note((unlogged) => {
+      this.deps.log.error({ reason, unlogged }, 'malformed report');
+    });
+  }
+}
--- a/src/jobs/user-requests.ts
+++ b/src/jobs/user-requests.ts
@@ -343,7 +343,7 @@
     } else if (request.kind === 'cancel') {
       if (this.deps.leader()) void this.cancelAsLeader(request.jobId).then(answer);
       else answer({ kind: 'unable' });
-    } else {
+    } else if (request.kind === 'submit') {
       const decoded = decodeJob(request.body);
       if (!decoded.ok) {
         reply({ kind: 'refused', status: 400, reason: decoded.reason });
@@ -353,6 +353,8 @@
         if (created.kind === 'created') reply({ kind: 'status', created: true, ...PENDING });
         else answer(created.kind === 'limited' ? { kind: 'unable' } : created);
       });
+    } else {
+      answer({ kind: 'unable' });
     }
   }
 }
--- a/src/leader/context.ts
+++ b/src/leader/context.ts
@@ -33,6 +33,8 @@
   superseded(): void;
   /** This node hears next to no worker; if others do, one of them should lead. */
   hearsNobody(): void;
+  /** Milliseconds since a worker last reported to this controller itself, not by way of a follower. */
+  directReportAgeMs(): number;
   /** How late this process gets to its work. */
   lagMs(): number;
 }
--- a/src/leader/leader.ts
+++ b/src/leader/leader.ts
@@ -132,6 +132,11 @@
     return this.deps.term;
   }
 
+  /** Machines that are known, heard or not; null until the state is read. */
+  get machineCount(): number | null {
+    return this.loaded ? this.cluster.machines.size : null;
+  }
+
   stop(): void {
     this.stopped = true;
     this.deps.writer.stop();
--- a/src/leader/machine-monitor.ts
+++ b/src/leader/machine-monitor.ts
@@ -85,7 +85,7 @@
     for (const [zone, total] of totalByZone)
       this.judgeZone(zone, busy ? 0 : (silentByZone.get(zone) ?? 0), total, heardZones);
     // Silent nearly everywhere: perhaps only this node is cut off, and the workers reach others.
-    const alone = !busy && lost >= FEWEST && lost >= known * NEARLY_ALL;
+    const alone = !busy && ((lost >= FEWEST && lost >= known * NEARLY_ALL) || this.reachesNobody());
     if (alone) this.deps.host.hearsNobody();
     for (const m of [...this.cluster.machines.values()]) {
       const cut = this.cluster.darkZones.has(m.zone);
@@ -97,6 +97,15 @@
     this.fleet.syncList(this.cluster.machines);
   }
 
+  /**
+   * With followers that hand reports on, a leader that is cut off from workers still hears them. It took each machine
+   * that it sent an order to for one that hears nothing, and would have returned them one after the other.
+   */
+  private reachesNobody(): boolean {
+    const heardNone = this.deps.host.directReportAgeMs() > this.reportMs * 2;
+    return heardNone && this.orders.unreached >= FEWEST;
+  }
+
   /**
    * After standing still all machines look silent at once, and all that were booting look as if they never came up;
    * a leader that kept its lease through an outage, or did not know yet that it was over, returned them.
--- a/src/leader/worker-commands.ts
+++ b/src/leader/worker-commands.ts
@@ -16,6 +16,8 @@
 /** What the leader sends straight to workers: orders that can't wait for the next report, and questions. */
 export class WorkerCommands {
   private readonly probing = new Set<Machine>();
+  /** Machines that did not answer since the last one that did. */
+  private readonly silent = new Set<Machine>();
 
   constructor(
     private readonly cluster: Cluster,
@@ -28,6 +30,11 @@
     return machine.rostered && !machine.returning && this.deps.host.surelyLeading();
   }
 
+  /** Machines asked or ordered without an answer since any machine last answered. */
+  get unreached(): number {
+    return this.silent.size;
+  }
+
   needsPush(m: Machine): boolean {
     for (const a of m.attempts.values()) {
       if (a.released) continue;
@@ -74,10 +81,12 @@
         if (result === 'silent' || result === 'not_sent') {
           m.pushAfter = now + FAILED_PAUSE_MS;
           m.unheard += 1;
+          this.silent.add(m);
           return;
         }
         m.pushAfter = now + (result.executed ? DONE_PAUSE_MS : REFUSED_PAUSE_MS);
         m.heardUs(now);
+        this.silent.clear();
         this.take(result.report);
       });
     });
@@ -94,9 +103,11 @@
       host.post(() => {
         if (!report) {
           m.probesFailed += 1;
+          this.silent.add(m);
           return;
         }
         m.heardUs(host.clock.now());
+        this.silent.clear();
         // Another leads by now. The lease, reports and orders end this leadership; what such a worker does is not ours.
         if (report.token <= this.deps.term) this.take(report);
       });
--- a/src/mesh/frames.ts
+++ b/src/mesh/frames.ts
@@ -13,6 +13,8 @@
   | { kind: 'workers' }
   | { kind: 'cancel'; jobId: string }
   | { kind: 'submit'; jobId: string; body: string }
+  /** Workers' reports as they came to a follower, named by `node`; answered by `judged` in the same order. */
+  | { kind: 'reports'; node: string; reports: string[] }
   /**
    * A leader without the state service asks for a promise not to act without a leader. `continuous`: it is still
    * sure of its term.
@@ -27,11 +29,20 @@
   | { kind: 'unknown' }
   | { kind: 'unable' };
 
+/** The leader's answer to one report that was handed on. */
+export interface JudgedReport {
+  /** HTTP status. */
+  status: number;
+  body: string;
+}
+
 /** `unable`: the asked node can't decide now. `unknown`: it doesn't know the job and hasn't looked further. */
 export type MeshReply =
   | PollAnswer
   | { kind: 'answers'; answers: PollAnswer[] }
   | { kind: 'refused'; status: number; reason: string }
+  /** `relay`: more reports are to be handed on. */
+  | { kind: 'judged'; relay: boolean; judged: JudgedReport[] }
   | { kind: 'promised' }
   | { kind: 'here' };
 
@@ -56,7 +67,17 @@
               type: {
                 type: 'enum',
                 name: 'RequestKind',
-                symbols: ['poll', 'cancel', 'submit', 'promise', 'look', 'ping', 'workers', 'polls'],
+                symbols: [
+                  'poll',
+                  'cancel',
+                  'submit',
+                  'promise',
+                  'look',
+                  'ping',
+                  'workers',
+                  'polls',
+                  'reports',
+                ],
               },
             },
             { name: 'jobId', type: 'string' },
@@ -65,6 +86,8 @@
             { name: 'ms', type: 'int' },
             { name: 'jobIds', type: { type: 'array', items: 'string' } },
             { name: 'continuous', type: 'boolean' },
+            { name: 'node', type: 'string' },
+            { name: 'reports', type: { type: 'array', items: 'string' } },
           ],
         },
       ],
@@ -82,7 +105,7 @@
               type: {
                 type: 'enum',
                 name: 'ReplyKind',
-                symbols: ['status', 'refused', 'unknown', 'unable', 'promised', 'here', 'answers'],
+                symbols: ['status', 'refused', 'unknown', 'unable', 'promised', 'here', 'answers', 'judged'],
               },
             },
             { name: 'created', type: 'boolean' },
@@ -98,6 +121,21 @@
             { name: 'running', type: 'int' },
             { name: 'status', type: 'int' },
             { name: 'reason', type: 'string' },
+            { name: 'relay', type: 'boolean' },
+            {
+              name: 'judged',
+              type: {
+                type: 'array',
+                items: {
+                  type: 'record',
+                  name: 'Judged',
+                  fields: [
+                    { name: 'status', type: 'int' },
+                    { name: 'body', type: 'string' },
+                  ],
+                },
+              },
+            },
             {
               name: 'answers',
               type: {
@@ -141,6 +179,8 @@
     ms: number;
     jobIds: string[];
     continuous: boolean;
+    node: string;
+    reports: string[];
   } | null;
   reply: {
     kind: MeshReply['kind'];
@@ -150,6 +190,8 @@
     running: number;
     status: number;
     reason: string;
+    relay: boolean;
+    judged: JudgedReport[];
     answers: RawAnswer[];
   } | null;
 }
@@ -161,6 +203,8 @@
   ms: 0,
   continuous: false,
   jobIds: [] as string[],
+  node: '',
+  reports: [] as string[],
 } as const;
 const NO_REPLY = {
   created: false,
@@ -169,6 +213,8 @@
   running: 0,
   status: 0,
   reason: '',
+  relay: false,
+  judged: [] as JudgedReport[],
   answers: [] as RawAnswer[],
 } as const;
 const NO_ANSWER = { stage: 'pending', done: 0, running: 0 } as const;
@@ -211,6 +257,12 @@
       }
       case 'polls':
         return { id, request: { kind: 'polls', jobIds: request.jobIds }, reply: null };
+      case 'reports':
+        return {
+          id,
+          request: { kind: 'reports', node: request.node, reports: request.reports },
+          reply: null,
+        };
       case 'ping':
       case 'workers':
         return { id, request: { kind: request.kind }, reply: null };
@@ -226,6 +278,8 @@
     }
     case 'refused':
       return { id, request: null, reply: { kind: 'refused', status: reply.status, reason: reply.reason } };
+    case 'judged':
+      return { id, request: null, reply: { kind: 'judged', relay: reply.relay, judged: reply.judged } };
     case 'answers':
       return { id, request: null, reply: { kind: 'answers', answers: reply.answers.map(decodeAnswer) } };
     default:
--- a/test/jobs/controllers.ts
+++ b/test/jobs/controllers.ts
@@ -442,6 +442,7 @@
         pause: later,
         superseded: () => undefined,
         hearsNobody: () => undefined,
+        directReportAgeMs: () => 0,
         lagMs: () => 0,
       },
       settings: SETTINGS as Settings,
--- a/test/leader/harness.ts
+++ b/test/leader/harness.ts
@@ -116,6 +116,7 @@
           this.superseded += 1;
         },
         hearsNobody: () => undefined,
+        directReportAgeMs: () => 0,
         lagMs: () => 0,
       },
       settings: SETTINGS as Settings,
--- a/test/leader/standstill.test.ts
+++ b/test/leader/standstill.test.ts
@@ -102,6 +102,7 @@
         superseded: () => undefined,
         lagMs: () => 0,
         hearsNobody: () => undefined,
+        directReportAgeMs: () => 0,
       },
       settings,
       options,
--- a/test/sim/days.ts
+++ b/test/sim/days.ts
@@ -1,4 +1,5 @@
 import type { Logger } from '../../src/base/log.ts';
+import { defaultOptions, type Options } from '../../src/config/options.ts';
 import { check, trail, type Violation } from '../../src/sim/checker.ts';
 import { Emulator, type Day, type Scenario } from '../../src/sim/emulator.ts';
 import type { Fault } from '../../src/sim/faults.ts';
@@ -92,6 +93,8 @@
   faulty?: number[];
   always?: Partial<Scenario['always']>;
   teams?: (typeof SETTINGS)['settings']['teams'];
+  /** Reports a second that a leader on a whole core answers alone; the default is far more than any day has. */
+  reportsPerCoreS?: number;
 }
 
 const QUIET: Scenario['always'] = { lateWrites: 0, lostAnswers: 0, refusedRentals: 0, neverUp: 0 };
@@ -103,6 +106,12 @@
   neverUp: 0.02,
 };
 
+function optionsWith(reportsPerCoreS: number): Options {
+  const options = defaultOptions();
+  options.workers.reports_per_core_s = reportsPerCoreS;
+  return options;
+}
+
 export function scenario(sketch: DaySketch): Scenario {
   const settings = {
     ...SETTINGS.settings,
@@ -130,6 +139,7 @@
       .map((machine, at) => ({ ...machine, faulty: sketch.faulty?.includes(at) ?? false })),
     capacity: sketch.capacity ?? 14,
     always: { ...QUIET, ...sketch.always },
+    ...(sketch.reportsPerCoreS === undefined ? {} : { options: optionsWith(sketch.reportsPerCoreS) }),
   };
 }
 
