--- a/src/controller/reports.ts
+++ b/src/controller/reports.ts
@@ -4,7 +4,7 @@
 import { socketShares } from '../http/connections.ts';
 import { failure, type Answer, type Reply } from '../http/server.ts';
 import type { Leader } from '../leader/leader.ts';
-import type { MeshReply, MeshRequest } from '../mesh/frames.ts';
+import type { JudgedReport, MeshReply, MeshRequest } from '../mesh/frames.ts';
 import { ReportRelay, type BatchAnswer } from '../relay/report-relay.ts';
 import { WorkerShares, workersCarried } from '../relay/worker-shares.ts';
 import { encodeReportAnswer, encodeReportTo, ReportDecoder } from '../wire/worker.ts';
@@ -13,6 +13,10 @@
 const REPORTS_KEPT = 6;
 /** Least time between two log lines about malformed reports; the lines between are counted. */
 const MALFORMED_LOG_MS = 1000;
+/** With one more answer of at most 64 KiB a reply still fits a frame between controllers. */
+const ANSWER_BYTES = 56 * 1024;
+/** Bytes of an answer in a frame beside its body, at most. */
+const FRAME_OVERHEAD = 8;
 /** Report intervals in which a new leader hears of its machines. */
 const SETTLING_REPORTS = 3;
 
@@ -92,10 +96,7 @@
       return;
     }
     this.shares.noteRelayed(follower, bodies.length);
-    const judged = bodies.map((body) => {
-      const { status, body: text } = this.judge(leader, body);
-      return { status, body: text };
-    });
+    const judged = this.judgeAll(leader, bodies);
     const goOn = bodies.length > 0 && this.isSettling(leader);
     reply({ kind: 'judged', relay: this.shares.relay(machines) || goOn, judged });
   }
@@ -128,6 +129,17 @@
     return answer?.kind === 'judged' && answer.judged.length === reports.length ? answer : null;
   }
 
+  /** Answers of a batch, as many as surely fit a frame; the others are refused without being judged. */
+  private judgeAll(leader: Leader, bodies: readonly string[]): JudgedReport[] {
+    let bytes = 0;
+    return bodies.map((body) => {
+      if (bytes > ANSWER_BYTES) return { status: 503, body: '{}' };
+      const answer = this.judge(leader, body);
+      bytes += Buffer.byteLength(answer.body) + FRAME_OVERHEAD;
+      return { status: answer.status, body: answer.body };
+    });
+  }
+
   /** The leader's answer to a report, which holds for this moment only. */
   private judge(leader: Leader, body: string): Answer {
     const decoded = this.decoder.decode(body);
--- a/src/mesh/frames.ts
+++ b/src/mesh/frames.ts
@@ -227,6 +227,10 @@
   return { ...NO_REPLY, kind: reply.kind, answers: reply.answers.map((a) => ({ ...NO_ANSWER, ...a })) };
 }
 
+function decodeJudged({ status, body }: JudgedReport): JudgedReport {
+  return { status, body };
+}
+
 function decodeAnswer(raw: RawAnswer): PollAnswer {
   if (raw.kind !== 'status') return { kind: raw.kind };
   return { kind: 'status', created: false, stage: raw.stage, done: raw.done, running: raw.running };
@@ -279,7 +283,11 @@
     case 'refused':
       return { id, request: null, reply: { kind: 'refused', status: reply.status, reason: reply.reason } };
     case 'judged':
-      return { id, request: null, reply: { kind: 'judged', relay: reply.relay, judged: reply.judged } };
+      return {
+        id,
+        request: null,
+        reply: { kind: 'judged', relay: reply.relay, judged: reply.judged.map(decodeJudged) },
+      };
     case 'answers':
       return { id, request: null, reply: { kind: 'answers', answers: reply.answers.map(decodeAnswer) } };
     default:
--- a/src/relay/worker-shares.ts
+++ b/src/relay/worker-shares.ts
@@ -117,6 +117,8 @@
       best = name;
       fewest = count;
     }
+    // It counts there at once: until it reports there, others would be sent after it.
+    if (best !== null) this.followers.get(best)!.reports.add(now, 1);
     return best;
   }
 }
--- a/test/sim/days.ts
+++ b/test/sim/days.ts
@@ -56,6 +56,8 @@
   runS: number;
   /** So long after its submission its user cancels it; 0: never. */
   cancelS: number;
+  /** Processors that each task takes; one if not given. */
+  cores?: number;
   /** Submitted with a mistake: it fails on every machine. */
   mistaken?: boolean;
 }
@@ -65,7 +67,7 @@
     ...(JOB as JobBody),
     uid: `req-${String(index).padStart(6, '0')}`,
     loaves: sketch.tasks,
-    cores: 1,
+    cores: sketch.cores ?? 1,
     accelerators: 0,
     memGb: 2,
     imageGb: 1,
@@ -93,6 +95,8 @@
   faulty?: number[];
   always?: Partial<Scenario['always']>;
   teams?: (typeof SETTINGS)['settings']['teams'];
+  /** Settings of the platform that differ from those of all days. */
+  settings?: Partial<Scenario['settings']>;
   /** Reports a second that a leader on a whole core answers alone; the default is far more than any day has. */
   reportsPerCoreS?: number;
 }
@@ -120,6 +124,7 @@
     zones: ['a', 'b', 'c'],
     // Enough of a core for the shortest lease of leaders.
     limits: { cores: 0.2, memory_mb: 200, sockets: 1000 },
+    ...sketch.settings,
   };
   return {
     seed: sketch.seed,
