Relaying begins by the cloud's list; an overloaded leader gives up no machine that it can't hear

Change: machines that the cloud lists as running count; while the event loop is late nothing unheard is given up as never come up, and a launch in doubt costs the machine only if its job was cancelled.

--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -42,6 +42,8 @@
   rentedAt: number;
   /** Not given up before this: a machine found in the list may just not have reached this leader yet. */
   keepUntil: number;
+  /** The cloud lists it as running. */
+  running: boolean;
 }
 
 export interface IdleMachine {
@@ -110,6 +112,7 @@
           spot: o.spot,
           rentedAt: now,
           keepUntil: now,
+          running: false,
         });
       }
     }
@@ -203,7 +206,16 @@
   ): void {
     const { type, zone, spot } = place;
     this.rentedAt.set(name, rentedAt);
-    this.bootingByName.set(name, { index: this.bootIndex++, name, type, zone, spot, rentedAt, keepUntil });
+    this.bootingByName.set(name, {
+      index: this.bootIndex++,
+      name,
+      type,
+      zone,
+      spot,
+      rentedAt,
+      keepUntil,
+      running: false,
+    });
   }
 
   private backOff(option: RentOption, reason: string): void {
@@ -262,16 +274,28 @@
   }
 
   /**
-   * The controller stood still until now: whatever came up meanwhile could not report to it. Machines that were
-   * booting get as long as those of an earlier leader to find it again.
+   * The controller stood still or was overloaded until now: whatever came up meanwhile could not report to it.
+   * Machines that were booting get as long as those of an earlier leader to find it again.
    */
   resumed(): void {
     const keepUntil = this.deps.clock.now() + LISTED_GRACE_MS;
     for (const b of this.bootingByName.values()) b.keepUntil = Math.max(b.keepUntil, keepUntil);
   }
 
-  tick(): void {
+  /** Machines that the cloud lists as running, and of which no report has been heard yet. */
+  get runningUnheard(): number {
+    let count = 0;
+    for (const b of this.bootingByName.values()) if (b.running && !this.returning.has(b.name)) count += 1;
+    return count;
+  }
+
+  /**
+   * `overloaded`: this controller can't keep up with reports, so a machine that wasn't heard may well be up. With 4,000
+   * machines and one controller to hear them hundreds of healthy ones were once returned.
+   */
+  tick(overloaded: boolean): void {
     if (!this.deps.surelyLeading()) return;
+    if (overloaded) this.resumed();
     const now = this.deps.clock.now();
     for (const b of this.bootingByName.values()) {
       const bootS = this.deps.catalog.types[b.type]?.bootS ?? 60;
@@ -345,6 +369,8 @@
         const at = this.deps.clock.now();
         const unexpected: string[] = [];
         for (const m of machines) {
+          const awaited = this.bootingByName.get(m.name);
+          if (awaited) awaited.running = m.state === 'running';
           // The list lags, so what was returned lately may still stand in it.
           if (this.returned.has(m.name) || this.returning.has(m.name)) continue;
           if (m.state === 'failed') {
@@ -355,6 +381,8 @@
             unexpected.push(m.name);
             if (type < 0) this.giveBack([m.name]);
             else this.addBooting(m.name, place, at - m.ageS * 1000, at + LISTED_GRACE_MS);
+            const added = this.bootingByName.get(m.name);
+            if (added) added.running = m.state === 'running';
           }
         }
         // In one line: a new leader finds hundreds.
--- a/src/leader/leader.ts
+++ b/src/leader/leader.ts
@@ -25,6 +25,7 @@
 import { MachineRegistry } from '../workers/machine-registry.ts';
 
 const QUICK_IMAGES = 64;
+const COUNT_KEPT_MS = 500;
 const PAGE_BYTES = 4000;
 /** Final records that a new leader may have to read past: a few pages of a listing. */
 const FINALS_KEPT = 2000;
@@ -45,6 +46,7 @@
   private readonly forecast: ArrivalForecast;
   private readonly quickImages = new Set<string>();
   private loaded = false;
+  private counted = { at: -Infinity, machines: 0 };
   private readonly startedAt: number;
   private answeredEarly = -Infinity;
   private stopped = false;
@@ -132,9 +134,14 @@
     return this.deps.term;
   }
 
-  /** Machines that are known, heard or not; null until the state is read. */
+  /** Machines that are up as far as is known, heard or not; null until the state is read. */
   get machineCount(): number | null {
-    return this.loaded ? this.cluster.machines.size : null;
+    if (!this.loaded) return null;
+    const now = this.now();
+    // Asked with each report, and counted now and then.
+    if (now - this.counted.at > COUNT_KEPT_MS)
+      this.counted = { at: now, machines: this.cluster.machines.size + this.fleet.runningUnheard };
+    return this.counted.machines;
   }
 
   stop(): void {
--- a/src/leader/machine-monitor.ts
+++ b/src/leader/machine-monitor.ts
@@ -90,10 +90,10 @@
     for (const m of [...this.cluster.machines.values()]) {
       const cut = this.cluster.darkZones.has(m.zone);
       this.watchMachine(m, now, silentMs, cut || busy || alone);
-      for (const a of m.attempts.values()) this.watchAttempt(m, a, now);
+      for (const a of m.attempts.values()) this.watchAttempt(m, a, now, busy);
     }
     this.probeUnaccounted(now);
-    this.fleet.tick();
+    this.fleet.tick(busy);
     this.fleet.syncList(this.cluster.machines);
   }
 
@@ -169,11 +169,13 @@
     }
   }
 
-  private watchAttempt(m: Machine, a: Attempt, now: number): void {
+  private watchAttempt(m: Machine, a: Attempt, now: number, busy: boolean): void {
     if (a.released) return;
     // A launch in doubt of a task that must not run: returning the machine is the only sure end before the lease.
     const cancelMs = this.deps.settings.settings.workers.cancel_s * 1000;
-    if (a.stopGraceS !== null && !a.seen && a.doubt && now - a.assignedAt > cancelMs / 4 && !m.returning) {
+    // An overloaded controller misses answers; only a cancelled task is worth the machine then.
+    const mustEnd = a.stopGraceS !== null && !a.seen && a.doubt && (a.job?.ending === 'cancelled' || !busy);
+    if (mustEnd && now - a.assignedAt > cancelMs / 4 && !m.returning) {
       this.deps.host.log.info(
         { machine: m.name, job: a.jobId },
         'launch in doubt of a task to be stopped: machine returned',
