Followers hand reports on when the leader's processor share is too small, not its sockets

Change: only the processor share decides. A fleet beyond what all shares carry is warned of in the log.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -209,7 +209,6 @@
       settings: settings.settings,
       options,
       log,
-      orderSockets: orderSockets(sockets),
       now,
       after,
       leader: () => this.leader,
--- a/src/controller/reports.ts
+++ b/src/controller/reports.ts
@@ -1,7 +1,6 @@
 import type { Options } from '../config/options.ts';
 import type { Settings } from '../config/settings.ts';
 import { CountedLog, type Logger } from '../base/log.ts';
-import { socketShares } from '../http/connections.ts';
 import { failure, type Answer, type Reply } from '../http/server.ts';
 import type { Leader } from '../leader/leader.ts';
 import type { JudgedReport, MeshReply, MeshRequest } from '../mesh/frames.ts';
@@ -25,8 +24,6 @@
   settings: Settings['settings'];
   options: Options;
   log: Logger;
-  /** Sockets that commands to workers may use. */
-  orderSockets: number;
   now(): number;
   after(ms: number, run: () => void): void;
   /** The leadership of this controller, if it leads. */
@@ -45,6 +42,9 @@
   private readonly malformed: CountedLog;
   private readonly relay: ReportRelay;
   private readonly shares: WorkerShares;
+  /** Workers that a leader can serve alone. */
+  private readonly carried: number;
+  private warnedFor: Leader | null = null;
   private reportedAt = -Infinity;
   private settling: { leader: Leader; untilMs: number } | null = null;
 
@@ -63,12 +63,20 @@
     const carried = workersCarried({
       reportsPerCoreS: options.workers.reports_per_core_s,
       cores: limits.cores,
-      connections: socketShares(limits.sockets, deps.orderSockets).crowded,
       reportS: workers.report_s,
     });
+    this.carried = carried;
     this.shares = new WorkerShares(now, carried, workers.report_s * 1000);
   }
 
+  /** Tells once per leadership that the fleet is larger than the limits of all controllers together carry. */
+  private noteFleetSize(leader: Leader, machines: number): void {
+    const most = this.carried * this.deps.settings.nodes;
+    if (this.warnedFor === leader || machines <= most) return;
+    this.warnedFor = leader;
+    this.deps.log.warn({ machines, carried: most }, 'more machines than the processor shares carry');
+  }
+
   /** Milliseconds since a worker last reported to this controller itself. */
   directReportAgeMs(): number {
     return this.deps.now() - this.reportedAt;
@@ -82,7 +90,9 @@
       this.onFollower(body, reply);
       return;
     }
-    const other = this.shares.referTo(leader.machineCount ?? 0);
+    const machines = leader.machineCount ?? 0;
+    this.noteFleetSize(leader, machines);
+    const other = this.shares.referTo(machines);
     reply(other === null ? this.judge(leader, body) : { status: 421, body: encodeReportTo(other) });
   }
 
--- a/src/relay/worker-shares.ts
+++ b/src/relay/worker-shares.ts
@@ -3,16 +3,16 @@
   reportsPerCoreS: number;
   /** Share of a core. */
   cores: number;
-  /** Connections of workers that can stay open. */
-  connections: number;
   /** Seconds between two reports of a worker. */
   reportS: number;
 }
 
-/** How many workers a leader can serve alone. */
+/**
+ * How many workers a leader can serve alone. Its sockets don't count: workers beyond them take turns, which costs less
+ * than to have followers hand all reports on.
+ */
 export function workersCarried(limits: CarryLimits): number {
-  const byProcessor = limits.cores * limits.reportsPerCoreS * limits.reportS;
-  return Math.max(1, Math.floor(Math.min(limits.connections, byProcessor)));
+  return Math.max(1, Math.floor(limits.cores * limits.reportsPerCoreS * limits.reportS));
 }
 
 /** With fewer machines than this share of what it carries, a leader takes all workers back. */
--- a/test/relay/report-relay.test.ts
+++ b/test/relay/report-relay.test.ts
@@ -177,7 +177,7 @@
 
 test('workers are shared out only with more of them than a leader carries, and no follower gets most', () => {
   let now = 0;
-  const carried = workersCarried({ reportsPerCoreS: 2500, cores: 0.085, connections: 1093, reportS: 5 });
+  const carried = workersCarried({ reportsPerCoreS: 2500, cores: 0.085, reportS: 5 });
   assert.equal(carried, 1062);
   const few = new WorkerShares(() => now, carried, 5000);
   for (let i = 0; i < 1062; i++) assert.equal(few.referTo(1062), null);
