Questions to workers under way at once grow with the fleet

A fixed 16 asks 1,330 silent machines in about 230 s (2 s for an answer and 0.8 s of pause each). One in a hundred machines now, never under 16, so nothing changes below 1,600 machines.

--- a/src/leader/worker-commands.ts
+++ b/src/leader/worker-commands.ts
@@ -5,8 +5,12 @@
 import type { LeaderDeps } from './context.ts';
 import { BUSY_MS } from '../base/event-loop-lag.ts';
 
-/** Questions to workers under way at once: after a takeover there are as many to ask as there are machines. */
-const MOST_PROBES = 16;
+/**
+ * Questions to workers under way at once, at least and as a share of all machines: after a takeover, or when many have
+ * died, there are as many to ask as there are machines. They stay within the sockets for orders.
+ */
+const LEAST_PROBES = 16;
+const PROBES_SHARE = 0.01;
 const MOST_PROBES_BUSY = 4;
 const PROBE_PAUSE_MS = 800;
 const FAILED_PAUSE_MS = 1000;
@@ -94,7 +98,10 @@
 
   /** Asks a worker directly: its reports may be lost on the way while it lives, or our answers to it. */
   probe(m: Machine): void {
-    const most = this.deps.host.lagMs() > BUSY_MS ? MOST_PROBES_BUSY : MOST_PROBES;
+    const most =
+      this.deps.host.lagMs() > BUSY_MS
+        ? MOST_PROBES_BUSY
+        : Math.max(LEAST_PROBES, Math.floor(this.cluster.machines.size * PROBES_SHARE));
     if (this.probing.has(m) || this.probing.size >= most || m.id.address === '') return;
     this.probing.add(m);
     const { host } = this.deps;
