--- a/test/sim/relay.test.ts
+++ b/test/sim/relay.test.ts
@@ -36,7 +36,7 @@
       fc.asyncProperty(generatedDay(170), async (sketch) => {
         assert.equal(describe(await play(relayed({ ...sketch, always: AMBIENT }))), '');
       }),
-      { seed: SEED + 3, numRuns: 40, endOnFailure: true, includeErrorInReport: true },
+      { seed: SEED + 3, numRuns: 60, endOnFailure: true, includeErrorInReport: true },
     ),
   );
   assert.ok(taken > 3000, `${taken} reports were answered by way of followers`);
