--- a/src/controller/reports.ts
+++ b/src/controller/reports.ts
@@ -60,13 +60,12 @@
       send: (leader, reports, timeoutMs) => this.handOn(leader, reports, timeoutMs),
       keepMs: workers.lease_s * 1000,
     });
-    const carried = workersCarried({
+    this.carried = workersCarried({
       reportsPerCoreS: options.workers.reports_per_core_s,
       cores: limits.cores,
       reportS: workers.report_s,
     });
-    this.carried = carried;
-    this.shares = new WorkerShares(now, carried, workers.report_s * 1000);
+    this.shares = new WorkerShares(now, this.carried, workers.report_s * 1000);
   }
 
   /** Tells once per leadership that the fleet is larger than the limits of all controllers together carry. */
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -203,6 +203,7 @@
     place: { type: number; zone: number; spot: boolean },
     rentedAt: number,
     keepUntil: number,
+    running = false,
   ): void {
     const { type, zone, spot } = place;
     this.rentedAt.set(name, rentedAt);
@@ -214,7 +215,7 @@
       spot,
       rentedAt,
       keepUntil,
-      running: false,
+      running,
     });
   }
 
@@ -370,7 +371,8 @@
         const unexpected: string[] = [];
         for (const m of machines) {
           const awaited = this.bootingByName.get(m.name);
-          if (awaited) awaited.running = m.state === 'running';
+          const running = m.state === 'running';
+          if (awaited) awaited.running = running;
           // The list lags, so what was returned lately may still stand in it.
           if (this.returned.has(m.name) || this.returning.has(m.name)) continue;
           if (m.state === 'failed') {
@@ -380,9 +382,7 @@
             const place = { type, zone: this.deps.zones.index(m.zone), spot: m.spot };
             unexpected.push(m.name);
             if (type < 0) this.giveBack([m.name]);
-            else this.addBooting(m.name, place, at - m.ageS * 1000, at + LISTED_GRACE_MS);
-            const added = this.bootingByName.get(m.name);
-            if (added) added.running = m.state === 'running';
+            else this.addBooting(m.name, place, at - m.ageS * 1000, at + LISTED_GRACE_MS, running);
           }
         }
         // In one line: a new leader finds hundreds.
--- a/src/jobs/poll-batches.ts
+++ b/src/jobs/poll-batches.ts
@@ -1,3 +1,4 @@
+import { BatchPacer, type PacerTimers } from '../base/batch-pacer.ts';
 import type { PollAnswer } from '../mesh/frames.ts';
 
 /** Least time between two batches to the leader. */
@@ -7,10 +8,7 @@
 
 type Waiter = (answer: PollAnswer | null) => void;
 
-export interface PollBatcherDeps {
-  /** Steady milliseconds. */
-  now(): number;
-  after(ms: number, run: () => void): void;
+export interface PollBatcherDeps extends PacerTimers {
   /** Asks the leader of now; null when there is none or it doesn't answer in time. */
   send(jobIds: string[]): Promise<readonly PollAnswer[] | null>;
 }
@@ -22,10 +20,13 @@
  */
 export class PollBatcher {
   private waiting = new Map<string, Waiter[]>();
-  private sentAt = -Infinity;
-  private scheduled = false;
+  private readonly pacer: BatchPacer;
 
-  constructor(private readonly deps: PollBatcherDeps) {}
+  constructor(private readonly deps: PollBatcherDeps) {
+    this.pacer = new BatchPacer(deps, BATCH_GAP_MS, () => {
+      this.flush();
+    });
+  }
 
   /** null: the leader can't be asked now. */
   ask(jobId: string): Promise<PollAnswer | null> {
@@ -40,28 +41,14 @@
         return;
       }
       this.waiting.set(jobId, [resolve]);
-      this.schedule();
-    });
-  }
-
-  private schedule(): void {
-    if (this.scheduled) return;
-    const waitMs = this.sentAt + BATCH_GAP_MS - this.deps.now();
-    if (waitMs <= 0) {
-      this.flush();
-      return;
-    }
-    this.scheduled = true;
-    this.deps.after(waitMs, () => {
-      this.scheduled = false;
-      this.flush();
+      this.pacer.schedule();
     });
   }
 
   private flush(): void {
     const batch = this.waiting;
     this.waiting = new Map();
-    this.sentAt = this.deps.now();
+    this.pacer.noteSent();
     void this.deps.send([...batch.keys()]).then((answers) => {
       let index = 0;
       for (const waiters of batch.values()) {
--- a/src/relay/report-relay.ts
+++ b/src/relay/report-relay.ts
@@ -1,3 +1,4 @@
+import { BatchPacer, type PacerTimers } from '../base/batch-pacer.ts';
 import { failure, type Answer } from '../http/server.ts';
 import type { JudgedReport } from '../mesh/frames.ts';
 
@@ -16,10 +17,7 @@
   judged: readonly JudgedReport[];
 }
 
-export interface ReportRelayDeps {
-  /** Steady milliseconds. */
-  now(): number;
-  after(ms: number, run: () => void): void;
+export interface ReportRelayDeps extends PacerTimers {
   /** The controller that leads as far as is known here; null: none. */
   leader(): string | null;
   /** Hands reports to a leader; null: it doesn't lead, can't be reached or didn't answer in time. */
@@ -43,63 +41,50 @@
 export class ReportRelay {
   private waiting: Waiting[] = [];
   private bytes = 0;
-  private sentAt = -Infinity;
-  private scheduled = false;
+  private readonly pacer: BatchPacer;
   private wantedUntil = -Infinity;
   private askedAt = -Infinity;
 
-  constructor(private readonly deps: ReportRelayDeps) {}
+  constructor(private readonly deps: ReportRelayDeps) {
+    this.pacer = new BatchPacer(deps, BATCH_GAP_MS, () => {
+      this.flush();
+    });
+  }
 
   /** Takes a report in to be handed on. False: the worker is to be sent to the leader. */
   take(body: string, reply: (answer: Answer) => void): boolean {
-    const { now } = this.deps;
-    if (this.deps.leader() === null) return false;
-    if (now() >= this.wantedUntil) {
-      this.askWhetherWanted();
+    const now = this.deps.now();
+    const leader = this.deps.leader();
+    if (leader === null) return false;
+    if (now >= this.wantedUntil) {
+      this.askWhetherWanted(leader, now);
       return false;
     }
-    this.waiting.push({ body, arrivedAt: now(), reply });
+    this.waiting.push({ body, arrivedAt: now, reply });
     this.bytes += Buffer.byteLength(body);
     if (this.bytes >= BATCH_BYTES) this.flush();
-    else this.schedule();
+    else this.pacer.schedule();
     return true;
   }
 
-  private askWhetherWanted(): void {
-    const now = this.deps.now();
+  private askWhetherWanted(leader: string, now: number): void {
     if (now - this.askedAt < ASK_GAP_MS) return;
     this.askedAt = now;
-    const leader = this.deps.leader();
-    if (leader !== null)
-      void this.deps.send(leader, [], MOST_AGE_MS).then((answer) => {
-        this.learn(answer);
-      });
+    void this.deps.send(leader, [], MOST_AGE_MS).then((answer) => {
+      this.learn(answer);
+    });
   }
 
   private learn(answer: BatchAnswer | null): void {
     if (answer) this.wantedUntil = answer.relay ? this.deps.now() + this.deps.keepMs : -Infinity;
   }
 
-  private schedule(): void {
-    if (this.scheduled) return;
-    const waitMs = this.sentAt + BATCH_GAP_MS - this.deps.now();
-    if (waitMs <= 0) {
-      this.flush();
-      return;
-    }
-    this.scheduled = true;
-    this.deps.after(waitMs, () => {
-      this.scheduled = false;
-      this.flush();
-    });
-  }
-
   private flush(): void {
     const batch = this.waiting;
     if (batch.length === 0) return;
     this.waiting = [];
     this.bytes = 0;
-    this.sentAt = this.deps.now();
+    this.pacer.noteSent();
     const leader = this.deps.leader();
     if (leader === null) {
       for (const report of batch) report.reply(noLeader());
--- a/src/wire/worker.ts
+++ b/src/wire/worker.ts
@@ -176,7 +176,6 @@
 }
 
 export function encodeReportAnswer(token: number, commands: readonly Command[]): string {
-  if (commands.length === 0) return `{"baton":${token},"orders":[]}`;
   return JSON.stringify({ baton: token, orders: commands.map(encodeCommand) });
 }
 
--- a/test/sim/relay.test.ts
+++ b/test/sim/relay.test.ts
@@ -89,17 +89,13 @@
       const take = reports.relay.take.bind(reports.relay);
       reports.relay.take = (body, reply) => {
         const { hearth } = JSON.parse(body) as { hearth: string };
-        const answerWith = (fallback: boolean): void => {
-          const last = kept.get(hearth);
-          if (fallback && last) reply(last);
-        };
         const taken = take(body, (answer) => {
           if (answer.status === 200) kept.set(hearth, answer);
-          if (answer.status !== 503 || !kept.has(hearth)) reply(answer);
-          else answerWith(true);
+          reply(answer.status === 503 ? (kept.get(hearth) ?? answer) : answer);
         });
-        if (taken || !kept.has(hearth)) return taken;
-        answerWith(true);
+        const last = kept.get(hearth);
+        if (taken || !last) return taken;
+        reply(last);
         return true;
       };
     },
