--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 # so there is nothing to compile: this checks that Node can parse each of them. Needs no network.
 set -eu
 cd "$(dirname "$0")"
-for file in lib/*.mjs [0-9]*/*.mjs; do
+for file in lib/*.mjs [0-9]*/*.mjs tried/*.mjs tried/*/*.mjs; do
   [ -e "$file" ] || continue
   node --check "$file"
 done
