--- a/review/lib/case.mjs
+++ b/review/lib/case.mjs
@@ -12,14 +12,22 @@
 export const ROOT = join(dirname(fileURLToPath(import.meta.url)), '..', '..');
 export const pause = (ms) => new Promise((r) => setTimeout(r, ms));
 
-function freePort() {
-  return new Promise((resolve, reject) => {
-    const s = createServer().once('error', reject);
-    s.listen(0, '127.0.0.1', () => {
-      const { port } = s.address();
-      s.close(() => resolve(port));
+const taken = new Set();
+
+/** A free port below the range from which the system takes those of outgoing connections, so that it stays free. */
+async function freePort() {
+  for (let i = 0; i < 200; i++) {
+    const port = 15_000 + Math.floor(Math.random() * 17_000);
+    if (taken.has(port)) continue;
+    const free = await new Promise((resolve) => {
+      const s = createServer().once('error', () => resolve(false));
+      s.listen(port, '127.0.0.1', () => s.close(() => resolve(true)));
     });
-  });
+    if (!free) continue;
+    taken.add(port);
+    return port;
+  }
+  throw new Error('no free port');
 }
 
 /** The program and its arguments, as `run` of deploy/service.toml names them. */
