--- a/review/tried/chaos.mjs
+++ b/review/tried/chaos.mjs
@@ -300,8 +300,8 @@
 await d.start(['khan-uul', 'sukhbaatar']);
 for (const z of ['bayanzurkh', 'khan-uul', 'sukhbaatar']) for (const o of ['guril', 'tsagaan']) await d.cloud.addRunning(o, z);
 let n = 100;
-const END = 95;
-const QUIET = 70;
+const END = Number(process.env.END_S ?? 95);
+const QUIET = Number(process.env.QUIET_S ?? 70); // no trouble begins from here on
 const users = [];
 let nextFault = 8;
 while (d.now() < END) {
@@ -358,5 +358,6 @@
     if (!w.gone && j?.cancelToldAt && d.now() - j.cancelToldAt > settings.workers.cancel_s) flag('ran_cancelled', { task: t.loaf, stillOn: w.identity.hearth });
   }
 const open = [...jobs].filter(([, j]) => j.acceptedAt && !j.final).map(([u]) => u);
+if (process.env.END_S) for (const u of open) d.record({ what: 'open', uid: u, body: jobs.get(u).body, cancelAsked: jobs.get(u).cancelAsked }, true);
 d.record({ what: 'day over', seed, jobs: jobs.size, done: [...jobs.values()].filter((j) => j.final === 'done').length, cancelled: [...jobs.values()].filter((j) => j.final === 'aborted').length, open: open.length, broken });
 d.finish(broken.length ? 1 : 0);
