--- a/review/tried/fleet-4000/case.mjs
+++ b/review/tried/fleet-4000/case.mjs
@@ -1,6 +1,6 @@
-// Tried in part two, for the entry of KNOWN-RED.txt: idle workers in number, three controllers that get a share of one
-// core each (stopped and continued by their processor time), and users who ask about their jobs, which wait for a type
-// without capacity. Environment: MACHINES, SHARE, JOBS.
+// Tried in part two, for the entry of KNOWN-RED.txt: workers in number, three controllers that get a share of one
+// core each (stopped and continued by their processor time), and users who ask about their jobs (arrays of 35 tasks of 6 CPUs and
+// 1 GPU). Environment: MACHINES, SHARE, JOBS.
 import { fork } from 'node:child_process';
 import { readFileSync } from 'node:fs';
 import { dirname, join } from 'node:path';
@@ -13,14 +13,15 @@
 const FARMS = 4;
 const settings = breadSettings();
 settings.workers.report_s = 5;
-const d = new Deployment(here, settings, breadTypes({ zuuh: 0 }));
+settings.teams = settings.teams.map((t) => ({ ...t, gpus: 2580, gpus_max: 12900 }));
+const d = new Deployment(here, settings, breadTypes({}));
 const listed = [];
 const route = d.cloud.route.bind(d.cloud);
 d.cloud.route = (m, u, b) => {
   if (m !== 'GET' || u.pathname !== '/rentals') return route(m, u, b);
   const since = u.searchParams.get('since') ?? '';
   const rest = listed.filter((x) => x.uid > since);
-  return { status: 200, body: { hearths: rest.slice(0, 500).map((x) => ({ ...x, oven: 'zuuh', borrowed: false, stage: 'running', ageS: 600 })), hasNext: rest.length > 500 } };
+  return { status: 200, body: { hearths: rest.slice(0, 500).map((x) => ({ ...x, oven: 'nuden', borrowed: false, stage: 'running', ageS: 600 })), hasNext: rest.length > 500 } };
 };
 await d.start(['khan-uul', 'sukhbaatar']);
 const farms = [];
@@ -28,7 +29,7 @@
 const plain = d.controllers.map(({ name, address }) => ({ name, address }));
 for (let f = 0; f < FARMS; f++) {
   const count = Math.floor(MACHINES / FARMS);
-  const farm = fork(join(here, 'farm.mjs'), [JSON.stringify({ count, first: 1 + f * count, controllers: plain, reportMs: 5000, leaseMs: 31000, oven: 'zuuh', yards: settings.zones })]);
+  const farm = fork(join(here, 'farm.mjs'), [JSON.stringify({ count, first: 1 + f * count, controllers: plain, reportMs: 5000, leaseMs: 31000, oven: 'nuden', yards: settings.zones })]);
   farms.push(farm);
   await new Promise((r) => farm.on('message', (m) => {
     if (m.machines) (listed.push(...m.machines), r());
@@ -48,7 +49,7 @@
     else if (x.stopped && ahead <= 0) (process.kill(x.pid, 'SIGCONT'), (x.stopped = false));
   }
 }, 5);
-const jobs = Array.from({ length: Number(process.env.JOBS ?? 40) }, (_, i) => job(1 + i, { cores: 2, bakeS: 30, ovens: ['nuden'] }));
+const jobs = Array.from({ length: Number(process.env.JOBS ?? 40) }, (_, i) => job(1 + i, { crew: 'stores', loaves: 35, cores: 6, accelerators: 1, memGb: 36, bakeS: 70, imageGb: 1, ovens: ['nuden'] }));
 const polls = [];
 let polling = true;
 const users = jobs.map(async (j, k) => {
--- a/review/tried/fleet-4000/farm.mjs
+++ b/review/tried/fleet-4000/farm.mjs
@@ -1,8 +1,11 @@
-// Many idle workers in one process: they report, follow redirects and answer /inspect and /orders; they run no tasks.
+// Many workers in one process: they report, follow redirects, answer /inspect and /orders, and run array tasks, each
+// for RUN_MS after FETCH_MS; they report changes after half a second.
 import { createServer, request, Agent } from 'node:http';
 
 const { count, first, controllers, reportMs, leaseMs, oven, yards } = JSON.parse(process.argv[2]);
-const stats = { sent: 0, ok: 0, redirected: 0, other: 0, silent: 0, leasesOver: 0 };
+const stats = { sent: 0, ok: 0, redirected: 0, other: 0, silent: 0, leasesOver: 0, started: 0, done: 0, killed: 0 };
+const FETCH_MS = 3000;
+const RUN_MS = 70_000;
 class Idle {
   constructor(n) {
     this.name = `n-${String(n).padStart(6, '0')}`;
@@ -11,6 +14,7 @@
     this.tick = 0;
     this.baton = 0;
     this.node = n % controllers.length;
+    this.tasks = new Map();
     this.agent = new Agent({ keepAlive: true, maxSockets: 1 });
   }
   async start() {
@@ -24,6 +28,7 @@
           if (b.baton >= this.baton) this.baton = b.baton;
           else status = 409;
           if (b.shift !== this.shift) status = 409;
+          if (status === 200) this.execute(b.orders ?? []);
         }
         res.writeHead(status, { 'content-type': 'application/json' });
         res.end(this.report());
@@ -36,15 +41,21 @@
   }
   report() {
     this.tick += 1;
-    return JSON.stringify({ hearth: this.name, address: this.address, oven, yard: this.yard, borrowed: false, shift: this.shift, tick: this.tick, baton: this.baton, warningS: null, loaves: [] });
+    return JSON.stringify({ hearth: this.name, address: this.address, oven, yard: this.yard, borrowed: false, shift: this.shift, tick: this.tick, baton: this.baton, warningS: null, loaves: [...this.tasks.values()] });
   }
   send() {
     const sentAt = performance.now();
+    this.waiting = null;
+    this.lastSentAt = sentAt;
     if (sentAt - this.renewedAt > leaseMs) {
       this.shift += 1;
       this.renewedAt = sentAt;
       stats.leasesOver += 1;
+      stats.killed += [...this.tasks.values()].filter((t) => t.stage !== 'ended').length;
+      this.tasks.clear();
     }
+    this.changed = false;
+    const { shift } = this;
     const text = this.report();
     const [host, port] = controllers[this.node].address.split(':');
     stats.sent += 1;
@@ -53,7 +64,7 @@
       if (settled) return;
       settled = true;
       clearTimeout(timer);
-      setTimeout(() => this.send(), ms);
+      this.waiting = setTimeout(() => this.send(), ms);
     };
     const req = request({ host, port, method: 'POST', path: '/checkin', agent: this.agent, headers: { 'content-type': 'application/json', 'content-length': text.length } }, (res) => {
       let t = '';
@@ -73,8 +84,9 @@
           if (b.baton >= this.baton) {
             this.baton = b.baton;
             this.renewedAt = sentAt;
+            if (shift === this.shift) this.execute(b.orders ?? []);
           }
-          return next(news ? 500 : reportMs * (0.75 + Math.random() * 0.5));
+          return next(news || this.changed ? 500 : reportMs * (0.75 + Math.random() * 0.5));
         }
         const k = res.statusCode === 421 ? controllers.findIndex((c) => c.name === b.foreman) : -1;
         if (res.statusCode === 421) stats.redirected += 1;
@@ -97,6 +109,32 @@
     });
     req.end(text);
   }
+  execute(orders) {
+    for (const o of orders) {
+      const key = `${o.loaf}#${o.try}`;
+      const t = this.tasks.get(key);
+      if (o.verb === 'launch' && !t) {
+        const task = { loaf: o.loaf, try: o.try, stage: 'fetching' };
+        this.tasks.set(key, task);
+        stats.started += 1;
+        const step = (ms, f) => setTimeout(() => this.tasks.get(key) === task && task.stage !== 'ended' && (f(), this.note()), ms);
+        step(FETCH_MS, () => (task.stage = 'running'));
+        step(FETCH_MS + RUN_MS, () => {
+          task.stage = 'ended';
+          task.cause = 'done';
+          stats.done += 1;
+        });
+      } else if (o.verb === 'stop' && t && t.stage !== 'ended') Object.assign(t, { stage: 'ended', cause: 'stopped' });
+      else if (o.verb === 'clear' && t?.stage === 'ended') this.tasks.delete(key);
+      this.note();
+    }
+  }
+  note() {
+    this.changed = true;
+    if (!this.waiting) return;
+    clearTimeout(this.waiting);
+    this.waiting = setTimeout(() => this.send(), Math.max(0, 500 - (performance.now() - this.lastSentAt)));
+  }
   move(next) {
     this.node = (this.node + 1) % controllers.length;
     next(1000);
