Review: case 5 shows a gang that fits nowhere and keeps all machines from others

Change: review/5 holds the reservation of machines for a gang that can't be placed; records aren't kept.

--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -1,74 +1,92 @@
-/** A job that has ended is not known in an outage of the state service after the leader has changed. See claim.txt. */
+/** A gang that is larger than the deployment keeps all machines from all other jobs. See claim.txt. */
 import { dirname } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import * as lib from '../standins-2/lib.mjs';
 
-/** PROTOCOL, `forgotten`: every poll fails for this long while most other polls are answered. */
-const FORGOTTEN_S = 90;
-const POLL_S = 5;
-const ENDED = 'req-900000001';
-const OPEN = ['req-900000002', 'req-900000003', 'req-900000004'];
+/** Time for which no job may be left waiting while a machine that fits has room. */
+const WAIT_S = 90;
+/** The gang was accepted this long before the controllers came back. */
+const ACCEPTED_BEFORE_S = 45;
+/** From this age on the gang keeps machines free (DESIGN: "A job waiting past 60 s"). */
+const WAITING_PAST_S = 60;
+const GANG = 'req-900000001';
+const WAITING = 'req-900000002';
+const fillerId = (i) => `req-90000001${i}`;
 
-const settings = lib.orderClusterSettings();
+const settings = lib.planningClusterSettings();
+const types = [
+  { name: 'linde', cores: 16, accelerators: 0, memGb: 32, localGb: 50, pullGbPerS: 1, rate: 0.74, spotPrice: 0.28, startupS: 50, yards: settings.zones },
+];
+const MACHINES = 4;
+
+/** CPUs and memory that the tasks on a machine leave, as the machine sees it. */
+function roomOf(worker) {
+  const held = [...worker.tasks.values()].filter(({ stage }) => stage !== 'ended');
+  const sum = (of) => held.reduce((total, { job }) => total + (job?.[of] ?? 0), 0);
+  return { cores: worker.size.cores - sum('cores'), memGb: worker.size.memGb - sum('memGb') };
+}
 
 async function run(deployment, users, trouble) {
-  const { record, state } = deployment;
-  await deployment.cloud.addRunning('guril', 'khan-uul');
-  for (let i = 0; i < settings.nodes; i++) deployment.startNode(i);
-  lib.must(await deployment.waitFor('there is a leader', () => deployment.leaderIndex() >= 0, 15_000), 'no leader');
-  await lib.pause(1000);
-  for (const uid of [ENDED, ...OPEN])
-    lib.must((await users.submit(lib.createJob(uid, { bakeS: 300 }), 10_000))?.status === 201, `${uid} is not accepted`);
-  // The balancer gave this user a connection to the controller that leads.
-  users.turn = deployment.leaderIndex();
-  const cancelled = await users.cancel(ENDED, 10_000);
-  lib.must(cancelled?.status === 200 && cancelled.body.stage === 'aborted', 'the cancellation is not confirmed');
+  const { record, tasks, cloud, state, jobs } = deployment;
+  const gang = lib.createJob(GANG, {
+    batch: 'tour-plan',
+    crew: 'logistik',
+    shape: 'ensemble',
+    rank: 'urgent',
+    loaves: 16,
+    cores: 15,
+    memGb: 26,
+    bakeS: 150,
+    proofS: 45,
+    coolS: 5,
+  });
+  const acceptedAt = lib.now() - ACCEPTED_BEFORE_S * 1000;
   if (trouble) {
-    // The leader ends and is back at once; the outage begins when another controller leads and answers.
-    const leader = deployment.leaderIndex();
-    const answered = deployment.nodes[leader].name;
-    record.add(`the leader is ${answered}`);
-    deployment.killNode(leader);
-    await lib.pause(500);
-    deployment.startNode(leader);
-    const isNew = () => deployment.leaderIndex() >= 0 && deployment.leaderIndex() !== leader;
-    lib.must(await deployment.waitFor('another controller leads', isNew, 15_000), 'no new leader');
-    const next = deployment.nodes[deployment.leaderIndex()];
-    const knows = async () => (await users.poll(OPEN[0], next)).status === 200;
-    await lib.pause(1000);
-    lib.must(await deployment.waitFor('the new leader answers', knows, 5000), 'the new leader does not answer');
-    state.beginOutage();
+    state.seed([[`o/${GANG}`, { at: Date.now() - ACCEPTED_BEFORE_S * 1000, job: gang }]]);
+    jobs.set(GANG, gang);
+    record.add(`state service: holds the record of ${GANG}, a gang of ${gang.loaves}, accepted ${ACCEPTED_BEFORE_S} s ago`);
   }
-  const beganAt = lib.now();
-  const answers = { [ENDED]: { answered: 0, failed: 0 }, others: { answered: 0, failed: 0 } };
-  let failingSince = null;
-  let failedS = 0;
-  for (let round = 0; lib.now() - beganAt < (FORGOTTEN_S + 3) * 1000; round++) {
-    const roundAt = lib.now();
-    for (const uid of [ENDED, ...OPEN]) {
-      const askedAt = lib.now();
-      const { status } = await users.poll(uid, deployment.nodes[round % settings.nodes]);
-      const isAnswer = status === 200 || status === 404;
-      answers[uid === ENDED ? ENDED : 'others'][isAnswer ? 'answered' : 'failed'] += 1;
-      if (uid !== ENDED) continue;
-      if (isAnswer) failingSince = null;
-      else {
-        failingSince ??= askedAt;
-        failedS = Math.max(failedS, (lib.now() - failingSince) / 1000);
-      }
+  const workers = [];
+  for (let i = 0; i < MACHINES; i++) workers.push(await cloud.addRunning('linde', settings.zones[i % settings.zones.length]));
+  for (let i = 0; i < settings.nodes; i++) deployment.startNode(i);
+  lib.must(await deployment.waitFor('there is a leader', () => deployment.leaderIndex() >= 0, 8000), 'no leader');
+  const ran = (uid) => tasks.starts.some(({ task }) => task.startsWith(`${uid}/`));
+  const accept = async (uid, fields) => lib.must((await users.submit(lib.createJob(uid, fields), 5000))?.status === 201, `${uid} is not accepted`);
+  // One small task for each machine, so that none is returned as idle.
+  for (let i = 0; i < MACHINES; i++) await accept(fillerId(i), { batch: 'stock-watch', crew: 'buchhaltung', cores: 9, memGb: 8, bakeS: 600 });
+  const allRan = () => workers.every((_, i) => ran(fillerId(i)));
+  lib.must(await deployment.waitFor('each machine runs a task', allRan, 15_000), 'the machines run nothing');
+  await lib.pause(Math.max(0, acceptedAt + (WAITING_PAST_S + 1) * 1000 - lib.now()));
+  const job = { batch: 'price-list', crew: 'einkauf', rank: 'critical', cores: 4, memGb: 8, bakeS: 5 };
+  await accept(WAITING, job);
+  /** For each machine, since when it has room without a break while the job waits. */
+  const since = new Map();
+  let waitedS = 0;
+  while (waitedS < WAIT_S && !ran(WAITING) && lib.now() < 115_000) {
+    waitedS = 0;
+    for (const worker of workers) {
+      const room = roomOf(worker);
+      if (!worker.alive || room.cores < job.cores || room.memGb < job.memGb) since.delete(worker);
+      else if (!since.has(worker)) since.set(worker, lib.now());
+      if (since.has(worker)) waitedS = Math.max(waitedS, (lib.now() - since.get(worker)) / 1000);
+    }
+    if (Math.floor(waitedS) % 5 === 0) {
+      record.add(`machines: ${workers.map((w) => (w.alive ? `${w.name} has ${roomOf(w).cores} CPUs and ${roomOf(w).memGb} GB free` : `${w.name} is gone`)).join('; ')}`);
+      await users.poll(WAITING);
     }
-    if (!trouble && round >= 3) break;
-    const nextAt = Math.min(roundAt + POLL_S * 1000, Math.max(lib.now(), beganAt + (FORGOTTEN_S + 1.5) * 1000));
-    await lib.pause(Math.max(50, nextAt - lib.now()));
+    await lib.pause(1000);
   }
-  record.add(`answers: ${JSON.stringify(answers)}`);
-  const { answered, failed } = answers.others;
-  const broken = failedS >= FORGOTTEN_S && answered > failed;
-  if (trouble) state.endOutage();
+  if (trouble) await users.poll(GANG);
+  record.add(`tasks started: ${tasks.starts.map(({ task, machine }) => `${task} on ${machine}`).join(', ')}`);
+  const broken = !ran(WAITING) && waitedS >= WAIT_S;
   return {
     broken,
-    why: `every poll for ${ENDED} failed for ${failedS.toFixed(1)} s (${answers[ENDED].failed} polls, ${answers[ENDED].answered} answered); of the other polls ${answered} were answered and ${failed} failed`,
+    why: broken
+      ? `${WAITING}, a critical job, has waited ${waitedS.toFixed(1)} s while ${since.size} of ${workers.length} machines had room for it`
+      : ran(WAITING)
+        ? `${WAITING} ran`
+        : `${WAITING} did not run, but a machine had room for ${waitedS.toFixed(1)} s only`,
   };
 }
 
-await lib.runCase({ folder: dirname(fileURLToPath(import.meta.url)), settings, types: lib.ORDER_TYPES, run });
+await lib.runCase({ folder: dirname(fileURLToPath(import.meta.url)), settings, types, run });
