--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -6,7 +6,7 @@
 /** Time for which no job may be left waiting while a machine that fits has room. */
 const WAIT_S = 90;
 /** The gang was accepted this long before the controllers came back. */
-const ACCEPTED_BEFORE_S = 45;
+const ACCEPTED_BEFORE_S = 40;
 /** From this age on the gang keeps machines free (DESIGN: "A job waiting past 60 s"). */
 const WAITING_PAST_S = 60;
 const GANG = 'req-900000001';
