--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -1,5 +1,5 @@
 /** A gang that is larger than the deployment keeps all machines from all other jobs. See claim.txt. */
-import { dirname } from 'node:path';
+import { dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import * as lib from '../standins-2/lib.mjs';
 
@@ -13,19 +13,17 @@
 const WAITING = 'req-900000002';
 const fillerId = (i) => `req-90000001${i}`;
 
-const settings = lib.planningClusterSettings();
+/** The settings of kit/next/gc-steiermark-grown: five controllers. */
+const settings = {
+  ...lib.planningClusterSettings(),
+  nodes: 5,
+  workers: { report_s: 5, lease_s: 22, gang_wait_s: 35, gang_peer_s: 4, cancel_s: 42 },
+};
 const types = [
   { name: 'linde', cores: 16, accelerators: 0, memGb: 32, localGb: 50, pullGbPerS: 1, rate: 0.74, spotPrice: 0.28, startupS: 50, yards: settings.zones },
 ];
 const MACHINES = 4;
 
-/** CPUs and memory that the tasks on a machine leave, as the machine sees it. */
-function roomOf(worker) {
-  const held = [...worker.tasks.values()].filter(({ stage }) => stage !== 'ended');
-  const sum = (of) => held.reduce((total, { job }) => total + (job?.[of] ?? 0), 0);
-  return { cores: worker.size.cores - sum('cores'), memGb: worker.size.memGb - sum('memGb') };
-}
-
 async function run(deployment, users, trouble) {
   const { record, tasks, cloud, state, jobs } = deployment;
   const gang = lib.createJob(GANG, {
@@ -36,6 +34,8 @@
     loaves: 16,
     cores: 15,
     memGb: 26,
+    samePlace: true,
+    borrowed: true,
     bakeS: 150,
     proofS: 45,
     coolS: 5,
@@ -47,7 +47,7 @@
     record.add(`state service: holds the record of ${GANG}, a gang of ${gang.loaves}, accepted ${ACCEPTED_BEFORE_S} s ago`);
   }
   const workers = [];
-  for (let i = 0; i < MACHINES; i++) workers.push(await cloud.addRunning('linde', settings.zones[i % settings.zones.length]));
+  for (let i = 0; i < MACHINES; i++) workers.push(await cloud.addRunning('linde', 'graz-nord'));
   for (let i = 0; i < settings.nodes; i++) deployment.startNode(i);
   lib.must(await deployment.waitFor('there is a leader', () => deployment.leaderIndex() >= 0, 8000), 'no leader');
   const ran = (uid) => tasks.starts.some(({ task }) => task.startsWith(`${uid}/`));
@@ -59,22 +59,15 @@
   await lib.pause(Math.max(0, acceptedAt + (WAITING_PAST_S + 1) * 1000 - lib.now()));
   const job = { batch: 'price-list', crew: 'einkauf', rank: 'critical', cores: 4, memGb: 8, bakeS: 5 };
   await accept(WAITING, job);
-  /** For each machine, since when it has room without a break while the job waits. */
-  const since = new Map();
-  let waitedS = 0;
-  while (waitedS < WAIT_S && !ran(WAITING) && lib.now() < 115_000) {
-    waitedS = 0;
-    for (const worker of workers) {
-      const room = roomOf(worker);
-      if (!worker.alive || room.cores < job.cores || room.memGb < job.memGb) since.delete(worker);
-      else if (!since.has(worker)) since.set(worker, lib.now());
-      if (since.has(worker)) waitedS = Math.max(waitedS, (lib.now() - since.get(worker)) / 1000);
-    }
-    if (Math.floor(waitedS) % 5 === 0) {
-      record.add(`machines: ${workers.map((w) => (w.alive ? `${w.name} has ${roomOf(w).cores} CPUs and ${roomOf(w).memGb} GB free` : `${w.name} is gone`)).join('; ')}`);
+  const wait = new lib.WaitBesideRoom(workers, job);
+  let waitedS = wait.look();
+  for (let polledAt = -Infinity; waitedS < WAIT_S && !ran(WAITING) && lib.now() < 115_000; waitedS = wait.look()) {
+    if (lib.now() - polledAt >= 5000) {
+      polledAt = lib.now();
+      record.add(wait.toString());
       await users.poll(WAITING);
     }
-    await lib.pause(1000);
+    await lib.pause(500);
   }
   if (trouble) await users.poll(GANG);
   record.add(`tasks started: ${tasks.starts.map(({ task, machine }) => `${task} on ${machine}`).join(', ')}`);
@@ -82,11 +75,12 @@
   return {
     broken,
     why: broken
-      ? `${WAITING}, a critical job, has waited ${waitedS.toFixed(1)} s while ${since.size} of ${workers.length} machines had room for it`
+      ? `${WAITING}, a critical job, has waited ${waitedS.toFixed(1)} s while ${wait.machines} of ${workers.length} machines had room for it all the time`
       : ran(WAITING)
         ? `${WAITING} ran`
         : `${WAITING} did not run, but a machine had room for ${waitedS.toFixed(1)} s only`,
   };
 }
 
-await lib.runCase({ folder: dirname(fileURLToPath(import.meta.url)), settings, types, run });
+const folder = dirname(fileURLToPath(import.meta.url));
+await lib.runCase({ folder, recordFile: join(folder, 'record.txt'), settings, types, run });
--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -1,5 +1,5 @@
 /** A gang that fits nowhere keeps an idle machine from all other jobs. See claim.txt. */
-import { dirname } from 'node:path';
+import { dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import * as lib from '../standins-2/lib.mjs';
 
@@ -14,13 +14,6 @@
   { name: 'linde', cores: 16, accelerators: 0, memGb: 32, localGb: 50, pullGbPerS: 1, rate: 0.74, spotPrice: 0.28, startupS: 50, yards: settings.zones },
 ];
 
-/** CPUs and memory that the tasks on a machine leave, as the machine sees it. */
-function roomOf(worker) {
-  const held = [...worker.tasks.values()].filter(({ stage }) => stage !== 'ended');
-  const sum = (of) => held.reduce((total, { job }) => total + (job?.[of] ?? 0), 0);
-  return { cores: worker.size.cores - sum('cores'), memGb: worker.size.memGb - sum('memGb') };
-}
-
 async function run(deployment, users, trouble) {
   const { record, tasks, cloud } = deployment;
   const worker = await cloud.addRunning('linde', 'graz-nord');
@@ -40,6 +33,7 @@
       cores: 15,
       memGb: 26,
       samePlace: true,
+      borrowed: true,
       bakeS: 150,
       proofS: 45,
       coolS: 5,
@@ -47,20 +41,15 @@
   await lib.pause(1000);
   const job = { batch: 'price-list', crew: 'einkauf', cores: 4, memGb: 8, bakeS: 5 };
   await accept(WAITING, job);
-  /** Since when the job waits while the machine has room without a break. */
-  let since = null;
-  let waitedS = 0;
-  while (waitedS < WAIT_S && !ran(WAITING) && lib.now() < 114_000) {
-    const room = roomOf(worker);
-    const hasRoom = worker.alive && room.cores >= job.cores && room.memGb >= job.memGb;
-    if (!hasRoom) since = null;
-    else since ??= lib.now();
-    waitedS = since === null ? 0 : (lib.now() - since) / 1000;
-    if (Math.floor(waitedS) % 5 === 0) {
-      record.add(`machine ${worker.name}: ${worker.alive ? `has ${room.cores} CPUs and ${room.memGb} GB free` : 'is gone'}`);
+  const wait = new lib.WaitBesideRoom([worker], job);
+  let waitedS = wait.look();
+  for (let polledAt = -Infinity; waitedS < WAIT_S && !ran(WAITING) && lib.now() < 114_000; waitedS = wait.look()) {
+    if (lib.now() - polledAt >= 5000) {
+      polledAt = lib.now();
+      record.add(wait.toString());
       await users.poll(WAITING);
     }
-    await lib.pause(1000);
+    await lib.pause(500);
   }
   record.add(`the gang ${ran(GANG) ? 'ran' : 'did not run'}; tasks started: ${tasks.starts.map(({ task, machine }) => `${task} on ${machine}`).join(', ')}`);
   const broken = !ran(WAITING) && waitedS >= WAIT_S;
@@ -74,4 +63,5 @@
   };
 }
 
-await lib.runCase({ folder: dirname(fileURLToPath(import.meta.url)), settings, types, run });
+const folder = dirname(fileURLToPath(import.meta.url));
+await lib.runCase({ folder, recordFile: join(folder, 'record.txt'), settings, types, run });
--- a/review/standins-2/lib.mjs
+++ b/review/standins-2/lib.mjs
@@ -730,6 +730,8 @@
   }
 
   startNode(index, settings = this.settings) {
+    // A timer may ask for a controller after the case has ended.
+    if (this.stopped) return;
     const node = this.nodes[index];
     const file = join(this.folder, `${node.name}.json`);
     const seeds = this.nodes
@@ -749,6 +751,8 @@
       if (node.process === child) node.process = null;
     });
     node.process = child;
+    // run.sh ends what is left of these, should this process be killed.
+    if (process.env.CASE_PIDS && child.pid) appendFileSync(process.env.CASE_PIDS, `${child.pid}\n`);
     this.record.add(`controller ${node.name} started as process ${child.pid} on ${node.serve}`);
   }
 
@@ -782,6 +786,7 @@
   }
 
   async stop() {
+    this.stopped = true;
     for (const node of this.nodes) node.process?.kill('SIGKILL');
     await this.cloud.stop();
     this.state.stop();
@@ -937,8 +942,8 @@
  * Runs a case: `run(deployment, users, verdict)` returns {broken, why}, or throws if the case couldn't run. Ends the
  * process with 1 (the rule was broken), 0 (it held) or 2 (the case couldn't run), and ends all controllers before.
  */
-export async function runCase({ folder, settings, types, run }) {
-  const record = new Record(join(folder, 'record.txt'));
+export async function runCase({ folder, recordFile, settings, types, run }) {
+  const record = new Record(recordFile);
   const trouble = process.env.TROUBLE !== '0';
   record.add(`TROUBLE=${trouble ? 1 : 0}`);
   const deployment = new Deployment({ root: join(folder, '../..'), record, settings, types, locations: settings.zones });
@@ -950,6 +955,12 @@
   };
   const deadline = setTimeout(() => void finish(2, 'the case took longer than 118 s'), 118_000 - now());
   for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) process.on(signal, () => void finish(2, `ended by ${signal}`));
+  // A fault of the stand-ins is never a broken rule.
+  for (const event of ['uncaughtException', 'unhandledRejection']) process.on(event, (error) => void finish(2, `fault of the case: ${error?.stack ?? error}`));
+  const parent = process.ppid;
+  setInterval(() => {
+    if (process.ppid !== parent) void finish(2, 'run.sh has ended');
+  }, 500);
   try {
     await deployment.start();
     const { broken, why } = await run(deployment, new Users(deployment), trouble);
@@ -961,6 +972,44 @@
   }
 }
 
+/** What the tasks on a machine leave of it, as the machine sees it. */
+export function roomOf(worker) {
+  const held = [...worker.tasks.values()].filter(({ stage }) => stage !== 'ended');
+  const sum = (of) => held.reduce((total, { job }) => total + (job?.[of] ?? 0), 0);
+  return { cores: worker.size.cores - sum('cores'), memGb: worker.size.memGb - sum('memGb') };
+}
+
+/** For how long a job has waited while one machine, the same all the time, has had room for a task of it. */
+export class WaitBesideRoom {
+  constructor(workers, job) {
+    this.workers = workers;
+    this.job = job;
+    this.since = new Map();
+  }
+
+  /** Looks at the machines; to be called often. Returns seconds. */
+  look() {
+    let longest = 0;
+    for (const worker of this.workers) {
+      const room = roomOf(worker);
+      if (!worker.alive || room.cores < this.job.cores || room.memGb < this.job.memGb) this.since.delete(worker);
+      else if (!this.since.has(worker)) this.since.set(worker, now());
+      if (this.since.has(worker)) longest = Math.max(longest, (now() - this.since.get(worker)) / 1000);
+    }
+    return longest;
+  }
+
+  /** The number of machines that have room now. */
+  get machines() {
+    return this.since.size;
+  }
+
+  toString() {
+    const text = (worker) => (worker.alive ? `${worker.name} has ${roomOf(worker).cores} CPUs and ${roomOf(worker).memGb} GB free` : `${worker.name} is gone`);
+    return `machines: ${this.workers.map(text).join('; ')}`;
+  }
+}
+
 /** Whether the answer to a submission says that the job is accepted: 201, or 200 if the job is known already. */
 export const isAccepted = (answer) => answer !== null && (answer.status === 200 || answer.status === 201);
 
--- a/review/tried-2/catalog.mjs
+++ b/review/tried-2/catalog.mjs
@@ -1,5 +1,5 @@
 /** Controllers that are restarted take machine types from the store that the cloud's catalog has left behind. See REPORT-2.md. */
-import { dirname } from 'node:path';
+import { dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import * as lib from '../standins-2/lib.mjs';
 
@@ -54,4 +54,5 @@
   };
 }
 
-await lib.runCase({ folder: dirname(fileURLToPath(import.meta.url)), settings, types: lib.ORDER_TYPES, run });
+const folder = dirname(fileURLToPath(import.meta.url));
+await lib.runCase({ folder, recordFile: join(folder, 'record.txt'), settings, types: lib.ORDER_TYPES, run });
