Emulator: answered requests arrive once more, as a typed fault with its own random stream

The emulator knew late messages that were never answered, and copies of heartbeats, but no copies of requests that had been carried out and answered.

--- a/src/sim/emulator.ts
+++ b/src/sim/emulator.ts
@@ -11,6 +11,7 @@
 import type { MachineType, HeartbeatBody } from './protocol.ts';
 import { EventQueue } from './queue.ts';
 import { Random } from './random.ts';
+import { RequestRepeater } from './repeats.ts';
 import { StateService } from './state.ts';
 import { Users, type PlannedJob } from './users.ts';
 import { Worker, type WorkerContext } from './worker.ts';
@@ -44,6 +45,8 @@
   endMs: number;
   /** Number of puts and deletes that the controllers requested of the state service. */
   requestedChangeCount: number;
+  /** Number of copies of answered requests that reached their receivers again. */
+  repeatedRequestCount: number;
 }
 
 const STATE_ADDRESS = 'state:1';
@@ -67,6 +70,7 @@
   readonly log: EventLog;
   private readonly queue = new EventQueue();
   private readonly random: Random;
+  private readonly repeater: RequestRepeater;
   private readonly network: SimNetwork;
   private readonly state: StateService;
   private readonly cloud: SimCloud;
@@ -89,7 +93,8 @@
     const { queue } = this;
     this.random = new Random(scenario.seed);
     this.log = new EventLog(() => queue.nowMs);
-    this.network = new SimNetwork(queue, this.random, observe);
+    this.repeater = new RequestRepeater(queue, scenario.seed);
+    this.network = new SimNetwork(queue, this.random, this.repeater, observe);
     const { settings, baselineFaultRates: faultRates } = scenario;
     this.state = new StateService(
       queue,
@@ -213,7 +218,15 @@
     await queue.run(endMs);
     const { requestedChangeCount } = this.state;
     const { log, faultsEndMs, faultyMachines } = this;
-    return { events: log.events, faultyMachines, faultsEndMs, endMs, requestedChangeCount };
+    const { copyCount: repeatedRequestCount } = this.repeater;
+    return {
+      events: log.events,
+      faultyMachines,
+      faultsEndMs,
+      endMs,
+      requestedChangeCount,
+      repeatedRequestCount,
+    };
   }
 
   // ---- events of the emulated parties ----
@@ -309,6 +322,15 @@
       case 'late_commands':
         this.network.lateCommands = { untilMs, share: fault.share };
         break;
+      case 'repeated_requests':
+        this.repeater.open({
+          untilMs,
+          of: fault.of,
+          share: fault.share,
+          minDelayMs: fault.minDelayS * 1000,
+          maxDelayMs: fault.maxDelayS * 1000,
+        });
+        break;
       case 'node_cut':
         this.network.interrupt(createNodeInterruption(this.selectNode(fault.node), fault.from, untilMs));
         break;
--- a/src/sim/faults.ts
+++ b/src/sim/faults.ts
@@ -1,3 +1,5 @@
+import type { RepeatedRequestKind } from './repeats.ts';
+
 /** The controller that a fault affects: the current leader, a follower, or a controller by its index. */
 export type NodeChoice = 'leader' | 'follower' | number;
 
@@ -23,6 +25,17 @@
   | { kind: 'late_reports'; share: number; untilNextLeader: boolean }
   /** Direct commands arrive seconds late, are executed once, and their answers are lost. */
   | { kind: 'late_commands'; share: number }
+  /**
+   * Requests that were answered arrive once more, or several times, each time from `minDelayS` to `maxDelayS` seconds
+   * after the answer or the copy before. `share` also is the probability that a copy is followed by another one.
+   */
+  | {
+      kind: 'repeated_requests';
+      of: RepeatedRequestKind;
+      share: number;
+      minDelayS: number;
+      maxDelayS: number;
+    }
   /** A controller and the listed parties don't reach each other; messages are held. */
   | { kind: 'node_cut'; node: NodeChoice; from: ('state' | 'peers' | 'workers' | 'users' | 'cloud')[] }
   /** A zone and the hosts outside of it don't reach each other; messages are held. */
@@ -58,6 +71,8 @@
       return fault.forS + leaseS * 2.5;
     case 'late_commands':
       return fault.forS + 16;
+    case 'repeated_requests':
+      return fault.forS + fault.maxDelayS;
     case 'cancel_now':
       return Math.max(fault.forS, fault.hangS);
     case 'close_looks':
--- a/src/sim/network.ts
+++ b/src/sim/network.ts
@@ -2,6 +2,7 @@
 import type { HttpResponse, HttpRequest } from '../http/server.ts';
 import type { EventQueue } from './queue.ts';
 import type { Random } from './random.ts';
+import type { RequestRepeater } from './repeats.ts';
 
 type HostKind = 'controller' | 'worker' | 'state' | 'cloud' | 'users';
 
@@ -73,6 +74,7 @@
   constructor(
     private readonly queue: EventQueue,
     private readonly random: Random,
+    private readonly repeater: RequestRepeater,
     private readonly observe: TrafficObserver = () => undefined,
   ) {}
 
@@ -123,7 +125,9 @@
       const onRefused = (): void => {
         settle({ kind: 'silent', sent: false, reason: 'ECONNREFUSED' });
       };
-      const answer = ({ status, body, retryAfterS }: HttpResponse): void => {
+      const answer = (response: HttpResponse): void => {
+        const { status, body, retryAfterS } = response;
+        this.repeater.onAnswered(to, { from, request, sentAt });
         observe(to, from, status, retryAfterS === undefined ? body : `${body} retry after ${retryAfterS} s`);
         this.transmit(to, from, 'answer', () => {
           settle({ kind: 'answer', status, body, retryAfterS: retryAfterS ?? null });
--- a/test/digest/days.ts
+++ b/test/digest/days.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import { SEED } from '../helpers.ts';
 import { BACKGROUND_FAULTS, type DaySpec } from '../sim/days.ts';
-import { generatedDay, generatedTakeovers } from '../sim/generated.ts';
+import { generatedDay, generatedTakeovers, withRepeatedRequests } from '../sim/generated.ts';
 import { FAULT_COMBINATIONS } from '../sim/meetings.ts';
 
 /** A day of the list. Its name identifies it in `digests.txt`. */
@@ -14,6 +14,7 @@
 const GENERATED_DAY_S = 170;
 const GENERATED_DAYS = 12;
 const GENERATED_TAKEOVERS = 12;
+const REPEATED_REQUEST_KINDS = ['commands', 'heartbeats', 'state', 'cloud', 'peers', 'users'] as const;
 const FAULT_COMBINATION_SEED = 6151;
 /** With this option a leader serves at most one worker itself, so followers relay the heartbeats that they receive. */
 const RELAYING_REPORTS_PER_CORE_S = 0.01;
@@ -48,6 +49,12 @@
   return fc.sample(days, { seed, numRuns: count }).map((spec) => ({ ...spec, always: BACKGROUND_FAULTS }));
 }
 
+/** One generated day for each kind of request that arrives again. */
+function sampleRepeatedRequests(): DaySpec[] {
+  const days = generatedDay(GENERATED_DAY_S);
+  return REPEATED_REQUEST_KINDS.flatMap((of) => sampleDays(withRepeatedRequests(days, of), SEED + 2, 1));
+}
+
 /** The list: generated days with all kinds of faults, generated takeovers, and every fault combination. */
 export function digestDays(): DigestDay[] {
   return [
@@ -57,5 +64,6 @@
       'meeting',
       FAULT_COMBINATIONS.map(({ day }) => ({ ...day, seed: FAULT_COMBINATION_SEED })),
     ),
+    ...applyVariants('repeats', sampleRepeatedRequests()),
   ];
 }
--- a/test/digest/digest.test.ts
+++ b/test/digest/digest.test.ts
@@ -15,6 +15,7 @@
   'late_writes',
   'late_reports',
   'late_commands',
+  'repeated_requests',
   'node_cut',
   'zone_cut',
   'machine_cut',
--- a/test/sim/generated.ts
+++ b/test/sim/generated.ts
@@ -1,6 +1,7 @@
 /** Generators of random days with faults, for property tests. */
 import fc from 'fast-check';
 import type { Fault, MachineChoice, NodeChoice } from '../../src/sim/faults.ts';
+import type { RepeatedRequestKind } from '../../src/sim/repeats.ts';
 import type { DaySpec } from './days.ts';
 
 const nodeChoice: fc.Arbitrary<NodeChoice> = fc.oneof(
@@ -113,3 +114,39 @@
     { minLength: 6, maxLength: 12 },
   ),
 });
+
+const repeatDelayS = fc.constantFrom(
+  { minDelayS: 0.2, maxDelayS: 1 },
+  { minDelayS: 0.2, maxDelayS: 5 },
+  { minDelayS: 2, maxDelayS: 20 },
+  { minDelayS: 20, maxDelayS: 60 },
+);
+
+/** Periods of a day in which answered requests of one kind arrive again, 0.2 s to a minute later. */
+const repeatedRequests = (of: RepeatedRequestKind): fc.Arbitrary<Fault> =>
+  fc
+    .tuple(repeatDelayS, share, fc.integer({ min: 1, max: 60 }), fc.integer({ min: 20, max: 90 }))
+    .map(([delayS, ratio, atS, forS]) => ({
+      kind: 'repeated_requests' as const,
+      of,
+      share: ratio,
+      ...delayS,
+      atS,
+      forS,
+    }));
+
+/**
+ * The same days with copies of answered requests of one kind. The days themselves are drawn as without copies, but the
+ * tasks of some jobs fail wherever they run: they are started, forgotten and started elsewhere again and again.
+ */
+export const withRepeatedRequests = (
+  day: fc.Arbitrary<DaySpec>,
+  of: RepeatedRequestKind,
+): fc.Arbitrary<DaySpec> =>
+  fc
+    .tuple(day, fc.array(repeatedRequests(of), { minLength: 1, maxLength: 2 }), fc.nat(3))
+    .map(([spec, repeats, mistakenRemainder]) => ({
+      ...spec,
+      jobs: spec.jobs.map((job, index) => ({ ...job, mistaken: index % 4 === mistakenRemainder })),
+      faults: [...spec.faults, ...repeats],
+    }));
