A leader cut off from its workers ends none of them while followers relay the rest

Users saw tasks killed and started again: a leader that had lost contact only with its workers terminated the one or two machines that reported to itself, before it noticed that it was cut off.

Cause: while followers relay the heartbeats of most machines, a cut misses only the few machines that report to the leader directly. That is neither 'nearly all' nor three unanswered requests, so their silence counted as their own failure.

Change: if for one heartbeat interval no heartbeat was sent to this leader itself and no worker has answered it, a silent machine is not terminated before its lease has expired; up to three machines whose heartbeats arrive are probed instead. One answer shows that this leader is not cut off, three missing ones that it is.

--- a/src/leader/command-dispatcher.ts
+++ b/src/leader/command-dispatcher.ts
@@ -31,6 +31,7 @@
   private readonly probing = new Set<Machine>();
   /** Machines that left a direct request unanswered since any machine last answered one. */
   private readonly unanswered = new Set<Machine>();
+  private answeredAt = -Infinity;
 
   constructor(
     private readonly cluster: Cluster,
@@ -49,6 +50,11 @@
     return this.unanswered.size;
   }
 
+  /** When a worker last answered a direct request, in milliseconds on the steady clock; -Infinity before. */
+  get lastAnswerAt(): number {
+    return this.answeredAt;
+  }
+
   /** Whether a stop or a start should be sent to the machine. */
   hasDueCommands(machine: Machine): boolean {
     for (const attempt of machine.attempts.values()) {
@@ -106,8 +112,7 @@
       return;
     }
     machine.endCommand(now + (result.executed ? EXECUTED_PAUSE_MS : REFUSED_PAUSE_MS));
-    machine.connectivity.noteAcknowledgement(now);
-    this.unanswered.clear();
+    this.noteAnswer(machine, now);
     this.onResponse(result.heartbeat);
   }
 
@@ -148,13 +153,18 @@
       this.unanswered.add(machine);
       return;
     }
-    machine.connectivity.noteAcknowledgement(this.deps.host.clock.now());
-    this.unanswered.clear();
+    this.noteAnswer(machine, this.deps.host.clock.now());
     // A higher token shows that another controller leads by now, so the state of this worker is not applied. The lease,
     // heartbeats and responses to commands end this leadership.
     if (result.heartbeat.fencingToken <= this.deps.term) this.onResponse(result.heartbeat);
   }
 
+  private noteAnswer(machine: Machine, now: number): void {
+    machine.connectivity.noteAcknowledgement(now);
+    this.unanswered.clear();
+    this.answeredAt = now;
+  }
+
   /** A request whose promise rejects shows a defect of this program; it counts as unanswered. */
   private logFailure(machine: Machine, error: unknown): void {
     const fields = { machine: machine.name, error: errorText(error) };
--- a/src/leader/machine-monitor.ts
+++ b/src/leader/machine-monitor.ts
@@ -46,6 +46,11 @@
 const OVERDUE_INTERVALS = 1.3;
 /** Heartbeat intervals without a heartbeat sent to this controller itself, after which it may be cut off. */
 const NO_DIRECT_HEARTBEAT_INTERVALS = 2;
+/**
+ * Heartbeat intervals without a heartbeat sent to this controller itself, and without the answer of any worker to it,
+ * after which the silence of a machine alone does not show that the machine has failed.
+ */
+const NO_CONTACT_INTERVALS = 1;
 
 /** Why a machine is terminated. */
 type TerminationReason = 'unresponsive' | 'unacknowledged' | 'faulty' | 'startInDoubt';
@@ -69,6 +74,8 @@
   overloaded: boolean;
   /** This controller seems to be cut off from the workers itself. */
   isolated: boolean;
+  /** No worker has been in contact with this controller itself lately, so it may be cut off. */
+  withoutContact: boolean;
 }
 
 /**
@@ -107,7 +114,8 @@
     this.updateZones(survey, overloaded);
     const isolated = !overloaded && (hasLostNearlyAll(survey) || this.reachesNoWorker());
     if (isolated) host.onAllWorkersLost();
-    const context = { ...liveness, cancellation: this.cancellation, overloaded, isolated };
+    const withoutContact = this.isWithoutContact(now);
+    const context = { ...liveness, cancellation: this.cancellation, overloaded, isolated, withoutContact };
     for (const machine of [...cluster.machines.values()]) {
       this.checkMachine(machine, context);
       for (const attempt of machine.attempts.values()) this.checkAttempt(attempt, context);
@@ -135,6 +143,12 @@
     return noHeartbeats && dispatcher.unansweredCount >= MIN_MISSING_MACHINES;
   }
 
+  private isWithoutContact(now: number): boolean {
+    const { host, dispatcher } = this.deps;
+    const maxAgeMs = this.heartbeatIntervalMs * NO_CONTACT_INTERVALS;
+    return host.directHeartbeatAgeMs() > maxAgeMs && now - dispatcher.lastAnswerAt > maxAgeMs;
+  }
+
   /**
    * After a pause of the process all machines look silent at once, and all that were booting look as if they never came
    * up. A leader that keeps its lease through an outage, or does not know yet that its leadership is over, must not
@@ -204,9 +218,27 @@
     // nothing.
     const unreachable = this.deps.cluster.unreachableZones.has(machine.zone);
     if ((unreachable || context.overloaded || context.isolated) && !leaseExpired) return;
+    // While followers relay the heartbeats of most machines, a leader that is cut off misses only its own few.
+    if (context.withoutContact && !leaseExpired && this.probeOthers(machine, context)) return;
     this.terminate(machine, reason, { silenceMs: Math.round(computeSilenceMs(machine, context)) });
   }
 
+  /**
+   * Probes a few machines whose heartbeats arrive: one answer shows that this controller is not cut off, and none that
+   * it is. Returns false if there is no such machine.
+   */
+  private probeOthers(machine: Machine, context: CheckContext): boolean {
+    let probed = 0;
+    for (const other of this.deps.cluster.machines.values()) {
+      if (probed === MIN_MISSING_MACHINES) break;
+      const silenceMs = context.now - other.connectivity.lastMessageAt;
+      if (other === machine || silenceMs > context.unresponsiveAfterMs) continue;
+      this.deps.dispatcher.probe(other);
+      probed += 1;
+    }
+    return probed > 0;
+  }
+
   private terminate(machine: Machine, reason: TerminationReason, details: object): void {
     this.deps.host.log.info({ machine: machine.name, reason, ...details }, 'machine terminated');
     this.deps.provisioner.terminate([machine.name]);
--- a/test/sim/relay.test.ts
+++ b/test/sim/relay.test.ts
@@ -74,10 +74,13 @@
   assert.equal(failures.join('\n\n'), '');
 });
 
+/** With these seeds a leader that was cut off terminated the few machines that had reported to itself. */
+const SEEDS_WITH_FEW_DIRECT_WORKERS = [20, 25, 28, 54];
+
 test('a leader that loses contact only with its workers steps down, also while followers relay heartbeats', async () => {
   // A leader that keeps its leadership still receives heartbeats through the followers, but its direct commands to the
   // machines are lost: it terminates healthy machines because they don't acknowledge commands.
-  for (let seed = 1; seed <= 4; seed++) {
+  for (const seed of [1, 2, 3, 4, ...SEEDS_WITH_FEW_DIRECT_WORKERS]) {
     const jobs = [2, 2, 2, 30, 32, 34, 36].map((atS) => ({ atS, kind: 0, tasks: 4, runS: 20, cancelS: 0 }));
     const day = await simulateDay(
       withRelaying({
