--- a/src/controller/heartbeat-handler.ts
+++ b/src/controller/heartbeat-handler.ts
@@ -24,7 +24,7 @@
 const MACHINE_DISCOVERY_INTERVALS = 3;
 
 /** The members of the leader that the handler uses. */
-export type HeartbeatLeader = Pick<Leader, 'term' | 'machineCount' | 'onHeartbeat'>;
+export type HeartbeatLeader = Pick<Leader, 'machineCount' | 'onHeartbeat'>;
 
 /** The dependencies of the handler on its controller. */
 export interface HeartbeatHandlerDeps {
@@ -187,9 +187,9 @@
     // During the grace after the lease has expired, answers keep running tasks alive without starting new ones.
     // After the grace, workers are redirected.
     if (this.deps.msSinceLeaseExpiry() > this.deps.heartbeatGraceMs) return redirect(null);
-    const commands = leader.onHeartbeat(decoded.value);
-    if (commands === null) return redirect(null);
-    return { status: 200, body: encodeHeartbeatResponse(leader.term, commands) };
+    const answer = leader.onHeartbeat(decoded.value);
+    if (answer === null) return redirect(null);
+    return { status: 200, body: encodeHeartbeatResponse(answer.fencingToken, answer.commands) };
   }
 
   private logMalformed(reason: string): void {
--- a/src/controller/leadership-session.ts
+++ b/src/controller/leadership-session.ts
@@ -19,6 +19,7 @@
 import type { KeyValueStore } from '../store/key-value-store.ts';
 import { KEYS } from '../store/keys.ts';
 import { LeaderWriter, type WriterHost } from '../store/leader-writer.ts';
+import { FencingTokens } from '../workers/fencing-tokens.ts';
 import type { WorkerClient } from '../workers/worker-client.ts';
 import type { ClusterCatalog } from './cluster-catalog.ts';
 import type { ControllerContext } from './context.ts';
@@ -125,6 +126,7 @@
       cloud,
       writer,
       term: this.leadership.term,
+      tokens: new FencingTokens(this.leadership.firstToken, this.leadership.term),
       heartbeatGraceMs,
     });
     this.activeLeader = leader;
@@ -163,7 +165,6 @@
   private createHost(terminalWrites: TerminalWrites): LeaderHost {
     const { clock, log, pause, enqueue, onError } = this.context;
     const { workers, terminalStates, transfer, lagMs, directHeartbeatAgeMs } = this.parts;
-    const { term } = this.leadership;
     return {
       clock,
       log,
@@ -172,10 +173,10 @@
       lagMs,
       directHeartbeatAgeMs,
       hasValidLease: () => this.hasValidLease(),
-      sendCommands: (machine, commands) => {
+      sendCommands: (machine, fencingToken, commands) => {
         const startsTasks = commands.some((command) => command.op === 'start');
         const mayStillSend = startsTasks ? () => this.hasValidLease() : () => true;
-        return workers.sendCommands(machine, term, commands, mayStillSend);
+        return workers.sendCommands(machine, fencingToken, commands, mayStillSend);
       },
       inspect: (machine) => workers.inspect(machine),
       onTerminalState: (id, status) => {
--- a/src/controller/warm-up.ts
+++ b/src/controller/warm-up.ts
@@ -115,6 +115,7 @@
     zone: 0,
     now: 0,
     leaseRenewedBefore: 0,
+    firstToken: 1,
   });
   private readonly job: Job | null;
 
--- a/src/leader/command-dispatcher.ts
+++ b/src/leader/command-dispatcher.ts
@@ -2,7 +2,7 @@
 import { errorText } from '../base/error-text.ts';
 import { MIN_BUSY_LAG_MS } from '../base/event-loop-lag.ts';
 import type { Command, Heartbeat } from '../wire/worker.ts';
-import { attemptKey, type Attempt } from '../workers/attempt.ts';
+import { attemptKey, type Attempt, type StartDelivery } from '../workers/attempt.ts';
 import type { Machine } from '../workers/machine.ts';
 import { buildCommands, isStartDurable } from '../workers/reconcile.ts';
 import type { CommandResult, InspectResult } from '../workers/worker-client.ts';
@@ -35,7 +35,7 @@
 
   constructor(
     private readonly cluster: Cluster,
-    private readonly deps: Pick<LeaderDeps, 'host' | 'term'>,
+    private readonly deps: Pick<LeaderDeps, 'host' | 'tokens'>,
     /** Applies what a worker answered. */
     private readonly onResponse: (heartbeat: Heartbeat) => void,
   ) {}
@@ -85,26 +85,27 @@
     }
   }
 
-  /** Sends commands straight to a machine's worker; without any, the message only shows it our fencing token. */
+  /** Sends commands straight to a machine's worker; without any, the message only shows it its fencing token. */
   dispatch(machine: Machine, commands: Command[]): void {
     machine.beginCommand();
     const started = attemptsStartedBy(machine, commands);
     for (const attempt of started) attempt.noteDirectStartSent();
     const { host } = this.deps;
+    const token = machine.commandToken;
     const settle = (result: CommandResult): void => {
       host.enqueue(() => {
-        this.onCommandResult(machine, started, result);
+        for (const attempt of started) attempt.noteDirectStartCompleted(startDelivery(result), token);
+        this.onCommandResult(machine, result);
       });
     };
-    host.sendCommands(machine, commands).then(settle, (error: unknown) => {
+    host.sendCommands(machine, token, commands).then(settle, (error: unknown) => {
       this.logFailure(machine, error);
       settle({ kind: 'unanswered' });
     });
   }
 
-  private onCommandResult(machine: Machine, started: readonly Attempt[], result: CommandResult): void {
+  private onCommandResult(machine: Machine, result: CommandResult): void {
     const now = this.deps.host.clock.now();
-    for (const attempt of started) attempt.noteDirectStartCompleted(result.kind === 'unanswered');
     if (result.kind !== 'answered') {
       machine.endCommand(now + UNANSWERED_PAUSE_MS);
       machine.connectivity.noteMissedAcknowledgement();
@@ -156,7 +157,7 @@
     this.noteAnswer(machine, this.deps.host.clock.now());
     // A higher token shows that another controller leads by now, so the state of this worker is not applied. The lease,
     // heartbeats and responses to commands end this leadership.
-    if (result.heartbeat.fencingToken <= this.deps.term) this.onResponse(result.heartbeat);
+    if (!this.deps.tokens.isSuperseding(result.heartbeat.fencingToken)) this.onResponse(result.heartbeat);
   }
 
   private noteAnswer(machine: Machine, now: number): void {
@@ -172,6 +173,18 @@
   }
 }
 
+/** What became of the starts in a direct command. */
+function startDelivery(result: CommandResult): StartDelivery {
+  switch (result.kind) {
+    case 'answered':
+      return result.executed ? 'executed' : 'notExecuted';
+    case 'notSent':
+      return 'notExecuted';
+    case 'unanswered':
+      return 'unanswered';
+  }
+}
+
 /** The machine's attempts that the commands start. */
 function attemptsStartedBy(machine: Machine, commands: readonly Command[]): Attempt[] {
   const started: Attempt[] = [];
--- a/src/leader/context.ts
+++ b/src/leader/context.ts
@@ -10,6 +10,7 @@
 import type { LeaderWriter } from '../store/leader-writer.ts';
 import type { JobStatus } from '../wire/user.ts';
 import type { Command } from '../wire/worker.ts';
+import type { FencingTokens } from '../workers/fencing-tokens.ts';
 import type { Machine } from '../workers/machine.ts';
 import type { CommandResult, InspectResult } from '../workers/worker-client.ts';
 
@@ -19,8 +20,8 @@
   log: Logger;
   /** True while no other node can hold the leader key. */
   hasValidLease(): boolean;
-  /** Sends commands directly to a worker. */
-  sendCommands(machine: Machine, commands: Command[]): Promise<CommandResult>;
+  /** Sends commands directly to a worker, under a fencing token of this leadership. */
+  sendCommands(machine: Machine, fencingToken: number, commands: Command[]): Promise<CommandResult>;
   /** Asks a worker for its state. */
   inspect(machine: Machine): Promise<InspectResult>;
   /** Called when the terminal record of a job is durable. */
@@ -56,8 +57,10 @@
   catalog: Catalog;
   cloud: Cloud;
   writer: WriteQueue;
-  /** The election term: the fencing token on all commands of this leadership. */
+  /** The election term, which no other leadership has. */
   term: number;
+  /** The fencing tokens on the messages of this leadership to workers. */
+  tokens: FencingTokens;
   /** Milliseconds for which a leader without a valid lease still answers heartbeats. */
   heartbeatGraceMs: number;
 }
--- a/src/leader/heartbeat-intake.ts
+++ b/src/leader/heartbeat-intake.ts
@@ -6,6 +6,7 @@
   applyHeartbeat,
   buildCommands,
   isNewerHeartbeat,
+  needsHigherToken,
   noteStartsInResponse,
 } from '../workers/reconcile.ts';
 import type { Attempts } from './attempts.ts';
@@ -13,6 +14,7 @@
 import type { CommandDispatcher } from './command-dispatcher.ts';
 import type { LeaderDeps } from './context.ts';
 import type { MachineMembership } from './machine-membership.ts';
+import type { TokenReservation } from './token-reservation.ts';
 
 /** The parts of a leadership that heartbeats are applied to. */
 interface HeartbeatIntakeParts {
@@ -21,6 +23,14 @@
   readonly attempts: Attempts;
   readonly dispatcher: CommandDispatcher;
   readonly membership: MachineMembership;
+  readonly tokenReservation: TokenReservation;
+}
+
+/** The answer to a heartbeat that may be answered with 200. */
+export interface HeartbeatAnswer {
+  /** The fencing token for this worker. */
+  readonly fencingToken: number;
+  readonly commands: readonly Command[];
 }
 
 /** Applies messages of workers to the state of the leadership, and answers heartbeats with commands. */
@@ -30,8 +40,8 @@
     private readonly deps: LeaderDeps,
   ) {}
 
-  /** A worker's own heartbeat. Returns the commands of the response, or null if it must not be answered with 200. */
-  onHeartbeat(heartbeat: Heartbeat): Command[] | null {
+  /** A worker's own heartbeat. Returns the answer, or null if it must not be answered with 200. */
+  onHeartbeat(heartbeat: Heartbeat): HeartbeatAnswer | null {
     const { cluster, membership, dispatcher } = this.parts;
     if (this.isSuperseded(heartbeat)) return null;
     // Before recovery no cancellation is known: an answer would renew the lease of tasks that must be gone within
@@ -40,12 +50,12 @@
     const machine = this.applyMessage(heartbeat, false);
     if (!machine) {
       membership.noteAnswerBeforeJoining();
-      return [];
+      return { fencingToken: Math.max(this.deps.tokens.first, heartbeat.fencingToken), commands: [] };
     }
     if (machine.awaitingLeaseExpiry) return null;
     const commands = buildCommands(machine, dispatcher.canStartOn(machine));
     noteStartsInResponse(machine, commands);
-    return commands;
+    return { fencingToken: machine.commandToken, commands };
   }
 
   /** What a worker answered to commands or to a probe. */
@@ -57,7 +67,7 @@
 
   /** A higher fencing token than ours shows that another controller leads by now. */
   private isSuperseded(heartbeat: Heartbeat): boolean {
-    if (heartbeat.fencingToken <= this.deps.term) return false;
+    if (!this.deps.tokens.isSuperseding(heartbeat.fencingToken)) return false;
     this.deps.host.onSuperseded();
     return true;
   }
@@ -84,7 +94,7 @@
     provisioner.onMachineUp(heartbeat.machine);
     machine.assessConnectivity(heartbeat, {
       direct,
-      term: this.deps.term,
+      firstToken: this.deps.tokens.first,
       now,
       leaseMs: lease_s * 1000,
       heartbeatIntervalMs: report_s * 1000,
@@ -92,9 +102,12 @@
     attempts.apply(
       applyHeartbeat(machine, heartbeat, direct, { now, jobOf: (id) => cluster.jobs.get(id) ?? null }),
     );
-    // The response may renew the lease of this worker, with or without commands.
-    if (!direct) machine.noteLeaseRenewal(now);
-    if (heartbeat.fencingToken === this.deps.term && !machine.reconciled) {
+    if (!direct) {
+      // The response may renew the lease of this worker, with or without commands.
+      machine.noteLeaseRenewal(now);
+      this.raiseTokenIfNeeded(machine);
+    }
+    if (this.deps.tokens.isCurrent(heartbeat.fencingToken) && !machine.reconciled) {
       machine.markReconciled();
       cluster.dirty = true;
     }
@@ -102,6 +115,18 @@
     if (dispatcher.hasDueCommands(machine)) cluster.commandsDue.add(machine);
   }
 
+  /**
+   * Raises the machine's fencing token with the response to a heartbeat. No response before it is on its way any more,
+   * and no direct command may be: the worker would refuse that one, and would drop such a response, which renews its
+   * lease.
+   */
+  private raiseTokenIfNeeded(machine: Machine): void {
+    const { tokens } = this.deps;
+    if (machine.commandInFlight || !needsHigherToken(machine)) return;
+    if (machine.commandToken < tokens.last) machine.raiseCommandToken();
+    this.parts.tokenReservation.noteUsed(machine.commandToken);
+  }
+
   /**
    * Whether the heartbeat shows no task that still counts. A reconciled machine holds no unknown task of an earlier
    * leader, so a heartbeat without our fencing token is a late copy, or comes from a worker that has lost all its
@@ -109,6 +134,6 @@
    * their job to the wrong zone.
    */
   private isStale(machine: Machine, heartbeat: Heartbeat): boolean {
-    return machine.reconciled && heartbeat.fencingToken !== this.deps.term;
+    return machine.reconciled && !this.deps.tokens.isCurrent(heartbeat.fencingToken);
   }
 }
--- a/src/leader/leader.ts
+++ b/src/leader/leader.ts
@@ -5,7 +5,7 @@
 import { StartWatermarks } from '../jobs/start-watermarks.ts';
 import type { Item, WatchEvent } from '../wire/state.ts';
 import type { JobStatus } from '../wire/user.ts';
-import type { Command, Heartbeat } from '../wire/worker.ts';
+import type { Heartbeat } from '../wire/worker.ts';
 import { MachineRegistry } from '../workers/machine-registry.ts';
 import { Arrivals } from './arrivals.ts';
 import { Attempts } from './attempts.ts';
@@ -14,7 +14,7 @@
 import { Completion } from './completion.ts';
 import type { LeaderDeps } from './context.ts';
 import { Gangs } from './gangs.ts';
-import { HeartbeatIntake } from './heartbeat-intake.ts';
+import { HeartbeatIntake, type HeartbeatAnswer } from './heartbeat-intake.ts';
 import { JobControl } from './job-control.ts';
 import { JobRegistry } from './job-registry.ts';
 import { MachineMembership } from './machine-membership.ts';
@@ -22,6 +22,7 @@
 import { SchedulingRounds } from './scheduling-rounds.ts';
 import { SchedulingSnapshots } from './scheduling-snapshots.ts';
 import { StateRecovery } from './state-recovery.ts';
+import { TokenReservation } from './token-reservation.ts';
 import type { StoredRecords } from './stored-state.ts';
 
 /** Size in bytes of a stored page, by default: of start watermarks, and of the machine registry. */
@@ -116,6 +117,7 @@
         attempts: this.attempts,
         dispatcher: this.dispatcher,
         membership: this.membership,
+        tokenReservation: new TokenReservation(deps),
       },
       deps,
     );
@@ -196,7 +198,7 @@
     this.deps.host.enqueue(command);
   };
 
-  /** The election term of this leadership: the fencing token on all its commands. */
+  /** The election term of this leadership. */
   get term(): number {
     return this.deps.term;
   }
@@ -256,8 +258,8 @@
     return this.jobControl.cancel(id, onOutcome);
   }
 
-  /** A worker's own heartbeat. Returns the commands of the response, or null if it must not be answered with 200. */
-  onHeartbeat(heartbeat: Heartbeat): Command[] | null {
+  /** A worker's own heartbeat. Returns the answer, or null if it must not be answered with 200. */
+  onHeartbeat(heartbeat: Heartbeat): HeartbeatAnswer | null {
     return this.heartbeats.onHeartbeat(heartbeat);
   }
 
--- a/src/leader/machine-membership.ts
+++ b/src/leader/machine-membership.ts
@@ -59,20 +59,29 @@
     const type = this.deps.catalog.typeIndex(identity.machineType);
     const zone = this.deps.zones.getOrAddIndex(identity.zone);
     return this.parts.cluster.addMachine(
-      (index) => new Machine({ index, identity, type, zone, now: this.now(), leaseRenewedBefore }),
+      (index) =>
+        new Machine({
+          index,
+          identity,
+          type,
+          zone,
+          now: this.now(),
+          leaseRenewedBefore,
+          firstToken: this.deps.tokens.first,
+        }),
     );
   }
 
   /**
-   * Adds an unknown machine that sends a heartbeat with our fencing token. Every machine that holds tasks is in the
+   * Adds an unknown machine that sends a heartbeat with a fencing token of ours. Every machine that holds tasks is in the
    * registry, so a heartbeat with an older token comes from a new worker that has not seen our answer yet, and sends
    * another once it has; or it is a copy of an old heartbeat of a machine that is gone. A machine added for such a copy
    * would hold up work until its lease expires. Returns null if the machine does not join.
    */
   admit(heartbeat: Heartbeat): Machine | null {
     const { cluster, provisioner } = this.parts;
-    if (heartbeat.fencingToken !== this.deps.term || provisioner.wasTerminated(heartbeat.machine))
-      return null;
+    if (!this.deps.tokens.isCurrent(heartbeat.fencingToken)) return null;
+    if (provisioner.wasTerminated(heartbeat.machine)) return null;
     const { machine: name, address, machineType, zone, spot } = heartbeat;
     this.deps.host.log.info({ machine: name, type: machineType, zone }, 'machine joined');
     cluster.dirty = true;
--- a/src/leader/machine-snapshots.ts
+++ b/src/leader/machine-snapshots.ts
@@ -96,10 +96,10 @@
       // end when its lease expires.
       if (now - machine.connectivity.lastHeartbeatAt > heartbeatIntervalMs * MAX_HEARTBEAT_AGE_INTERVALS)
         continue;
-      // Without our fencing token, a machine may be known only from a late copy of a heartbeat; with missed
+      // Without a fencing token of ours, a machine may be known only from a late copy of a heartbeat; with missed
       // acknowledgements, it may not receive commands. Tasks that are placed on either may never start.
-      if (machine.fencingToken !== this.deps.term || machine.connectivity.missedAcknowledgements > 0)
-        continue;
+      if (!this.deps.tokens.isCurrent(machine.fencingToken)) continue;
+      if (machine.connectivity.missedAcknowledgements > 0) continue;
       if (assessMachineHealth(machine.failures, machine.index, now) !== 'healthy') continue;
       const { fetchingUntil } = machine.images;
       const fetchingS = fetchingUntil > now ? (fetchingUntil - now) / 1000 : 0;
--- a/src/leader/snapshot-sources.ts
+++ b/src/leader/snapshot-sources.ts
@@ -8,6 +8,7 @@
 import type { TeamQuota } from '../jobs/admission.ts';
 import type { ArrivalForecast } from '../scheduling/forecast.ts';
 import type { Cluster } from './cluster.ts';
+import type { FencingTokens } from '../workers/fencing-tokens.ts';
 
 /** The parts of a leadership that the inputs of a round are created from. */
 export interface SnapshotSources {
@@ -25,7 +26,7 @@
   teams: readonly TeamQuota[];
   zones: NameIndex;
   catalog: Catalog;
-  term: number;
+  tokens: FencingTokens;
 }
 
 /** Expected remaining run time of a task that exceeds its estimate, as a ratio of the time that it has run. */
--- a/src/leadership/candidacy.ts
+++ b/src/leadership/candidacy.ts
@@ -5,6 +5,7 @@
 import type { LeaderlessWrite, LeaderlessWrites } from './leaderless-write.ts';
 import type { Leadership, LeadershipState } from './leadership-state.ts';
 import { computeLeaseExpiry, type LeaseOptions } from './lease.ts';
+import { TOKENS_PER_RESERVATION } from '../workers/fencing-tokens.ts';
 
 /** Upper bound of the delay that grows with a candidate's uptime, without the random part. */
 const MAX_UPTIME_DELAY_MS = 120;
@@ -59,10 +60,14 @@
     else await pause(WRITE_RETRY_MS);
   }
 
-  /** Puts the leader key, attached to a new lease, and increments the term in the same transaction. */
+  /**
+   * Puts the leader key, attached to a new lease, and raises the term in the same transaction. The term is raised by as
+   * many as the fencing tokens that the leadership may need, so that the next term exceeds all of them.
+   */
   private async acquireLeaderKey(write: LeaderlessWrite): Promise<void> {
     const { node, nonce, store, clock, options, pause, signal } = this.deps;
-    const term = write.term + 1;
+    const firstToken = write.term + 1;
+    const term = write.term + TOKENS_PER_RESERVATION;
     const sentAt = clock.now();
     const lease = await store.grantLease(options.ttlMs);
     if (lease.kind !== 'ok') {
@@ -76,7 +81,7 @@
       await store.revokeLease(lease.value);
       return pause(CAMPAIGN_RETRY_MS);
     }
-    const leadership = { term, version: result.revision, lease: lease.value };
+    const leadership = { term, firstToken, version: result.revision, lease: lease.value };
     this.deps.onAcquired(leadership, computeLeaseExpiry(sentAt, options.ttlMs));
   }
 }
--- a/src/leadership/leader-record.ts
+++ b/src/leadership/leader-record.ts
@@ -21,7 +21,10 @@
   | { kind: 'malformed' }
   | { kind: 'unavailable'; failure: StoreFailure };
 
-/** Result of a read of the term key: the last term that was won (0 before the first) and the record's version. */
+/**
+ * Result of a read of the term key: the last term that was won (0 before the first) or, if its leader has reserved more
+ * fencing tokens since, the last of them; and the record's version.
+ */
 export type TermRead =
   | { kind: 'known'; term: number; version: number }
   | { kind: 'malformed' }
@@ -48,7 +51,7 @@
   return { put: KEYS.leader, value: { node, term, nonce }, lease };
 }
 
-/** The mutation that puts the term key. */
+/** The mutation that puts the term key: the last term, or the last fencing token that its leader has reserved. */
 export function putTerm(term: number): Mutation {
   return { put: KEYS.term, value: { n: term } };
 }
--- a/src/leadership/leadership-state.ts
+++ b/src/leadership/leadership-state.ts
@@ -3,7 +3,10 @@
 
 /** A leadership that this controller won. */
 export interface Leadership {
+  /** The term, which also is the last fencing token that this leadership has reserved with its win. */
   term: number;
+  /** The first fencing token of this leadership: above the term record that it found. */
+  firstToken: number;
   /** Version of the leader key; every write of the leader is conditional on it. */
   version: number;
   /** The lease that the leader key is attached to. */
--- a/src/workers/attempt.ts
+++ b/src/workers/attempt.ts
@@ -6,6 +6,12 @@
 /** `launching` until the worker has reported the attempt; from then on the phase that it reported last. */
 export type AttemptPhase = 'launching' | TaskPhase;
 
+/**
+ * How a direct command ended for the start that it carried. `notExecuted`: it was not sent, or was refused for its token
+ * or incarnation and so always will be. `unanswered`: it may be executed, now or later.
+ */
+export type StartDelivery = 'executed' | 'notExecuted' | 'unanswered';
+
 /** What identifies an attempt, and when its task was assigned to the machine. */
 export interface AttemptInit {
   readonly machine: Machine;
@@ -27,7 +33,8 @@
  * - Whether the attempt is live: it is until `release`, which sets the exit reason and is final. An attempt released
  *   because it has ended stays with its machine in phase `ended` until the worker may forget it.
  * - The delivery of its start. These flags do not exclude each other: a start can be in flight in a direct command, in
- *   doubt because of an earlier command, and carried by a heartbeat response, while a stop is decided as well.
+ *   doubt because of an earlier command, and carried by a heartbeat response, while a stop is decided as well. A direct
+ *   command that was executed and answered can still arrive again: only a higher fencing token ends that.
  */
 export class Attempt {
   readonly machine: Machine;
@@ -50,6 +57,8 @@
 
   private directStartsInFlightCount = 0;
   private startMayBeExecuted = false;
+  private highestStartToken: number | null = null;
+  private isMissing = false;
   private responseMayCarryStart = false;
   /** When the monitor first found that the task may still start though its job is cancelled, or null. */
   private unwantedStartSinceMs: number | null = null;
@@ -84,11 +93,22 @@
   /** Records the phase that the worker reports. Returns true if the task has started to run. */
   observe(phase: TaskPhase, now: number): boolean {
     const beginsToRun = phase === 'running' && this.currentPhase !== 'running';
+    this.isMissing = false;
     this.currentPhase = phase;
     if (beginsToRun) this.runningSinceMs = now;
     return beginsToRun;
   }
 
+  /** Whether the worker reported the attempt before and no longer does, without having been told to forget it. */
+  get missing(): boolean {
+    return this.isMissing;
+  }
+
+  /** The worker's latest report lacks the attempt, which it reported before. */
+  noteMissing(): void {
+    this.isMissing = true;
+  }
+
   /** Whether the attempt is no longer live: it has ended, or can't be on its machine any more. */
   get released(): boolean {
     return this.isReleased;
@@ -126,6 +146,19 @@
     return this.directStartsInFlightCount;
   }
 
+  /**
+   * The highest fencing token of a direct command with the start that was executed or had no answer; null: there was
+   * none. Such a command can arrive again at any time, and is accepted by a worker that has not seen a higher token.
+   */
+  get startToken(): number | null {
+    return this.highestStartToken;
+  }
+
+  /** Whether a worker that has seen this token accepts a copy of a direct command with the start. */
+  isStartAcceptedAfter(token: number): boolean {
+    return this.highestStartToken !== null && token <= this.highestStartToken;
+  }
+
   /** Whether a direct start had no answer: it may be executed as long as the worker's incarnation lasts. */
   get startInDoubt(): boolean {
     return this.startMayBeExecuted;
@@ -136,7 +169,7 @@
     return this.responseMayCarryStart;
   }
 
-  /** Whether no direct start is in flight or in doubt, so that none can be executed any more. */
+  /** Whether no direct start is in flight or in doubt. Copies of those that were answered may still arrive. */
   get directStartsSettled(): boolean {
     return !this.startMayBeExecuted && this.directStartsInFlightCount === 0;
   }
@@ -146,10 +179,12 @@
     this.directStartsInFlightCount += 1;
   }
 
-  /** A direct command with the start has completed. If it is `unanswered`, the start is in doubt. */
-  noteDirectStartCompleted(unanswered: boolean): void {
+  /** A direct command with the start has completed, which carried this fencing token. */
+  noteDirectStartCompleted(delivery: StartDelivery, token: number): void {
     this.directStartsInFlightCount -= 1;
-    if (unanswered) this.startMayBeExecuted = true;
+    if (delivery === 'notExecuted') return;
+    this.highestStartToken = Math.max(this.highestStartToken ?? token, token);
+    if (delivery === 'unanswered') this.startMayBeExecuted = true;
   }
 
   /** The response to a heartbeat carries the start. */
--- a/src/workers/connectivity.ts
+++ b/src/workers/connectivity.ts
@@ -5,8 +5,8 @@
 export interface ConnectivityContext {
   /** The heartbeat is the answer to a direct request. */
   direct: boolean;
-  /** The leader's own fencing token. */
-  term: number;
+  /** The first of the leader's own fencing tokens. */
+  firstToken: number;
   /** In milliseconds on the steady clock. */
   now: number;
   leaseMs: number;
@@ -106,16 +106,16 @@
     heartbeat: Pick<Heartbeat, 'fencingToken' | 'incarnation'>,
     context: ConnectivityContext,
   ): void {
-    const { direct, term, now, leaseMs, heartbeatIntervalMs } = context;
+    const { direct, firstToken, now, leaseMs, heartbeatIntervalMs } = context;
     if (direct) return;
     // A worker ends its incarnation when it receives no response for the duration of the lease. If a response was sent
     // within that time, it was lost, or the worker hung that long.
     const answered = now - previous.leaseRenewedBefore < leaseMs;
     const restarted = previous.incarnation > 0 && heartbeat.incarnation > previous.incarnation;
     if (restarted && answered) this.missedAcknowledgementCount += 1;
-    if (heartbeat.fencingToken === term) {
-      // The first heartbeat with this leader's token shows that a message of this leader has reached the worker.
-      if (previous.fencingToken !== term) this.missedAcknowledgementCount = 0;
+    if (heartbeat.fencingToken >= firstToken) {
+      // The first heartbeat with a token of this leader shows that a message of this leader has reached the worker.
+      if (previous.fencingToken < firstToken) this.missedAcknowledgementCount = 0;
       if (this.missedAcknowledgementCount === 0) this.roundTripAt = now;
       return;
     }
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -28,6 +28,8 @@
   now: number;
   /** Upper bound of the time at which any controller last answered a heartbeat of the machine. */
   leaseRenewedBefore: number;
+  /** The first fencing token of the leadership. */
+  firstToken: number;
 }
 
 /** Whether the machine registry holds a machine; `queued`: its write is requested and not durable yet. */
@@ -51,6 +53,7 @@
   private knownIncarnation = 0;
   private knownSequence = 0;
   private highestFencingToken = 0;
+  private tokenInUse: number;
   private isLeaseExpired = false;
   private reclaimAtMs: number | null = null;
   private renewedBefore: number;
@@ -81,6 +84,7 @@
     this.zone = init.zone;
     this.idleFrom = init.now;
     this.renewedBefore = init.leaseRenewedBefore;
+    this.tokenInUse = init.firstToken;
   }
 
   get name(): string {
@@ -114,6 +118,16 @@
     return this.highestFencingToken;
   }
 
+  /** The fencing token of all messages to the worker from now on; never below one that the worker has shown. */
+  get commandToken(): number {
+    return this.tokenInUse;
+  }
+
+  /** From now on messages to the worker carry a higher token: it refuses whatever was sent before. */
+  raiseCommandToken(): void {
+    this.tokenInUse += 1;
+  }
+
   /** Whether the lease of the present incarnation has surely expired, so that no heartbeat of it counts any more. */
   get leaseExpired(): boolean {
     return this.isLeaseExpired;
@@ -144,6 +158,7 @@
   noteHeartbeat(heartbeat: Heartbeat, direct: boolean, now: number): void {
     this.knownSequence = heartbeat.sequence;
     this.highestFencingToken = Math.max(this.highestFencingToken, heartbeat.fencingToken);
+    this.tokenInUse = Math.max(this.tokenInUse, heartbeat.fencingToken);
     this.connectivity.noteMessage(direct, now);
     this.reclaimAtMs =
       heartbeat.interruptionNoticeS === null ? null : now + heartbeat.interruptionNoticeS * 1000;
--- a/src/workers/reconcile.ts
+++ b/src/workers/reconcile.ts
@@ -75,7 +75,7 @@
     const attempt = machine.attempts.get(key) ?? adoptAttempt(machine, key, status, context);
     applyTaskStatus(attempt, status, context.now, events);
   }
-  releaseMissing(machine, reported, direct, events);
+  releaseMissing(machine, reported, heartbeat.fencingToken, direct, events);
   return events;
 }
 
@@ -113,6 +113,7 @@
 function releaseMissing(
   machine: Machine,
   reported: ReadonlySet<string>,
+  seenToken: number,
   direct: boolean,
   events: WorkerEvent[],
 ): void {
@@ -124,6 +125,10 @@
     // before this heartbeat, and no direct start is in flight or in doubt.
     const neverStarts = attempt.stopGraceS !== null && !direct && attempt.directStartsSettled;
     if (!forgotten && !neverStarts) continue;
+    if (attempt.isStartAcceptedAfter(seenToken)) {
+      attempt.noteMissing();
+      continue;
+    }
     machine.attempts.delete(key);
     releaseLost(attempt, events);
   }
@@ -142,28 +147,53 @@
 }
 
 /**
- * Whether the worker may forget this attempt: it has ended, its start can't arrive any more, and if the task is done,
- * its completion is durable.
+ * Whether the worker may forget this attempt once no direct command with its start is accepted any more: it has ended,
+ * no response with its start is on its way, and if the task is done, its completion is durable.
  */
-export function canForget(attempt: Attempt): boolean {
+function isForgettable(attempt: Attempt): boolean {
   if (attempt.phase !== 'ended' || !attempt.directStartsSettled || attempt.startInResponse) return false;
   return attempt.exitReason !== 'done' || attempt.job === null || attempt.job.isDurable(attempt.task);
 }
 
+/**
+ * Whether a message under this fencing token may tell the worker to forget the attempt. The token must exceed that of
+ * every direct command with the attempt's start: a copy of such a command, however late, is then refused, and doesn't
+ * start the forgotten attempt anew beside a later one.
+ */
+export function canForget(attempt: Attempt, token: number): boolean {
+  return isForgettable(attempt) && !attempt.isStartAcceptedAfter(token);
+}
+
+/**
+ * Whether a higher fencing token is needed for the machine: an attempt can be forgotten, or be released, only once its
+ * worker refuses copies of the direct command that started it.
+ */
+export function needsHigherToken(machine: Machine): boolean {
+  for (const attempt of machine.attempts.values()) {
+    if (!attempt.isStartAcceptedAfter(machine.commandToken)) continue;
+    if (attempt.missing || isForgettable(attempt)) return true;
+  }
+  return false;
+}
+
 /** Whether the store durably records that the task may have been started, which must precede its start. */
 export function isStartDurable(attempt: Attempt): boolean {
   return attempt.job !== null && attempt.task < attempt.job.durableStartWatermark;
 }
 
-/** Builds all commands for the worker. `canStart`: whether tasks may be started, which requires a valid lease. */
+/**
+ * Builds all commands for the worker, for a message under the machine's present token. `canStart`: whether tasks may be
+ * started, which requires a valid lease.
+ */
 export function buildCommands(machine: Machine, canStart: boolean): Command[] {
   const commands: Command[] = [];
   for (const attempt of machine.attempts.values()) {
     const target = { jobId: attempt.jobId, task: attempt.task, attempt: attempt.number };
     if (attempt.phase === 'ended') {
-      if (canForget(attempt)) commands.push({ op: 'forget', ...target });
+      if (canForget(attempt, machine.commandToken)) commands.push({ op: 'forget', ...target });
     } else if (attempt.stopGraceS !== null) {
-      if (attempt.observed) commands.push({ op: 'stop', ...target, graceS: attempt.stopGraceS });
+      if (attempt.observed && !attempt.missing)
+        commands.push({ op: 'stop', ...target, graceS: attempt.stopGraceS });
     } else if (!attempt.observed && canStart && isStartDurable(attempt)) {
       commands.push({ op: 'start', ...target });
     }
--- a/test/controller/heartbeat-handler.test.ts
+++ b/test/controller/heartbeat-handler.test.ts
@@ -73,7 +73,7 @@
 }
 
 function createLeader(fields: Partial<HeartbeatLeader> = {}): HeartbeatLeader {
-  return { term: 41, machineCount: 1, onHeartbeat: () => [], ...fields };
+  return { machineCount: 1, onHeartbeat: () => ({ fencingToken: 41, commands: [] }), ...fields };
 }
 
 const redirectTo = (leader: string | null): HttpResponse => ({
@@ -151,7 +151,7 @@
   harness.leader = createLeader({
     onHeartbeat: () => {
       decided += 1;
-      return commands;
+      return { fencingToken: 41, commands };
     },
   });
   const reply = harness.replyTo(Array.from({ length: 6 }, () => HEARTBEAT));
--- a/test/golden/stored-records.test.ts
+++ b/test/golden/stored-records.test.ts
@@ -601,7 +601,7 @@
 test('the first leader and term records, and the renewal and revocation of the lease', async () => {
   const { election, service, run, acquiredLeadership } = createElection({});
   await run(200);
-  assert.equal(acquiredLeadership(), '1 131 77');
+  assert.equal(acquiredLeadership(), '1024 1 131 77');
   await new Promise((resolve) => setImmediate(resolve));
   await new Promise((resolve) => setImmediate(resolve));
   election.stepDown('ends');
@@ -609,7 +609,7 @@
     [...new Set(service.mutatingRequests())].join('\n'),
     [
       'POST /grants {"ttlMs":3000}',
-      'POST /multi {"if":[{"k":"leader","stamp":0},{"k":"term","stamp":0}],"then":[{"set":"leader","data":{"node":"hearth-2","term":1,"nonce":"nonce-1"},"permit":77},{"set":"term","data":{"n":1}}]}',
+      'POST /multi {"if":[{"k":"leader","stamp":0},{"k":"term","stamp":0}],"then":[{"set":"leader","data":{"node":"hearth-2","term":1024,"nonce":"nonce-1"},"permit":77},{"set":"term","data":{"n":1024}}]}',
       'POST /grants/77/renew {}',
       'DELETE /grants/77',
     ].join('\n'),
@@ -622,11 +622,11 @@
   });
   await run(500);
   election.stop();
-  assert.equal(acquiredLeadership(), '42 131 77');
+  assert.equal(acquiredLeadership(), '1065 42 131 77');
   const transaction = service.mutatingRequests().find((request) => request.startsWith('POST /multi'));
   assert.equal(
     transaction,
-    'POST /multi {"if":[{"k":"leader","stamp":0},{"k":"term","stamp":120}],"then":[{"set":"leader","data":{"node":"hearth-2","term":42,"nonce":"nonce-1"},"permit":77},{"set":"term","data":{"n":42}}]}',
+    'POST /multi {"if":[{"k":"leader","stamp":0},{"k":"term","stamp":120}],"then":[{"set":"leader","data":{"node":"hearth-2","term":1065,"nonce":"nonce-1"},"permit":77},{"set":"term","data":{"n":1065}}]}',
   );
 });
 
--- a/test/jobs/support/simulated-leader.ts
+++ b/test/jobs/support/simulated-leader.ts
@@ -16,6 +16,7 @@
 import type { HeldLeadership, SimulatedController } from './simulated-controller.ts';
 import type { UnreliableStateService } from './unreliable-state-service.ts';
 import { TEAMS } from './user-requests.ts';
+import { FencingTokens } from '../../../src/workers/fencing-tokens.ts';
 
 /** What a leader runs on. */
 export interface LeaderEnvironment {
@@ -87,6 +88,7 @@
     cloud: NO_CLOUD,
     writer: createWriter(environment, controller, held, { terminalWrites, isCurrent }),
     term: held.term,
+    tokens: new FencingTokens(held.term, held.term),
     heartbeatGraceMs: 6000,
   });
   controller.leader = leader;
--- a/test/leader/command-dispatcher.test.ts
+++ b/test/leader/command-dispatcher.test.ts
@@ -6,7 +6,7 @@
 import type { Heartbeat } from '../../src/wire/worker.ts';
 import { buildCommands } from '../../src/workers/reconcile.ts';
 import { FakeClock } from '../helpers.ts';
-import { fakeHost, settle, TERM } from './fakes.ts';
+import { createTokens, fakeHost, settle, TERM } from './fakes.ts';
 import { heartbeat, newMachine, setup } from '../workers/fixtures.ts';
 
 function dispatcherOn(overrides: Partial<LeaderHost>): {
@@ -15,7 +15,7 @@
 } {
   const responses: Heartbeat[] = [];
   const host = fakeHost(new FakeClock(), overrides);
-  const dispatcher = new CommandDispatcher(new Cluster(0), { host, term: TERM }, (response) =>
+  const dispatcher = new CommandDispatcher(new Cluster(0), { host, tokens: createTokens() }, (response) =>
     responses.push(response),
   );
   return { dispatcher, responses };
--- a/test/leader/fakes.ts
+++ b/test/leader/fakes.ts
@@ -5,11 +5,20 @@
 import { decodeStoredJob, type JobRequest } from '../../src/wire/user.ts';
 import type { Command, Heartbeat, TaskStatus } from '../../src/wire/worker.ts';
 import type { CommandResult } from '../../src/workers/worker-client.ts';
+import { FencingTokens, TOKENS_PER_RESERVATION } from '../../src/workers/fencing-tokens.ts';
 import { BIG, silent } from '../helpers.ts';
 import { JOB } from '../wire/sample.ts';
 
-/** The term of the leader under test. */
+/** The first fencing token of the leader under test, and the number that its term stands for in tests. */
 export const TERM = 7;
+
+/** The fencing tokens of the leader under test; `count`: how many it has reserved. */
+export function createTokens(count = TOKENS_PER_RESERVATION): FencingTokens {
+  return new FencingTokens(TERM, TERM + count - 1);
+}
+
+/** The fencing token of workers that have heard from a later leader. */
+export const LATER_TOKEN = TERM + TOKENS_PER_RESERVATION;
 /** The fencing token of workers that have not heard from the leader under test yet. */
 export const EARLIER_TERM = TERM - 1;
 
@@ -99,7 +108,9 @@
     return heartbeatOf(this.name, this.zone, position, [...this.tasks.values()]);
   }
 
-  execute(commands: readonly Command[]): Heartbeat {
+  /** Executes the commands of a message under this fencing token, which is not below one seen before. */
+  execute(commands: readonly Command[], fencingToken: number): Heartbeat {
+    this.fencingToken = Math.max(this.fencingToken, fencingToken);
     for (const command of commands) {
       const key = `${command.jobId}/${command.task}#${command.attempt}`;
       const known = this.tasks.get(key);
--- a/test/leader/harness.ts
+++ b/test/leader/harness.ts
@@ -13,7 +13,16 @@
 import type { CommandResult, InspectResult } from '../../src/workers/worker-client.ts';
 import { SETTINGS } from '../config/sample.ts';
 import { BIG, FakeClock } from '../helpers.ts';
-import { fakeCloud, fakeHost, FakeWorker, instantWrites, responseOf, settle, TERM } from './fakes.ts';
+import {
+  createTokens,
+  fakeCloud,
+  fakeHost,
+  FakeWorker,
+  instantWrites,
+  responseOf,
+  settle,
+  TERM,
+} from './fakes.ts';
 
 /** Time for which a leader without a valid lease still answers heartbeats. */
 const HEARTBEAT_GRACE_MS = 6000;
@@ -24,6 +33,7 @@
 export interface SentCommands {
   machine: string;
   incarnation: number;
+  fencingToken: number;
   commands: Command[];
   answer: (result: CommandResult) => void;
 }
@@ -55,16 +65,17 @@
     this.leader = new Leader({
       host: fakeHost(this.clock, {
         hasValidLease: () => this.leaseValid,
-        sendCommands: (machine, commands) =>
+        sendCommands: (machine, fencingToken, commands) =>
           new Promise((answer) => {
             this.sentCommands.push({
               machine: machine.name,
               incarnation: machine.incarnation,
+              fencingToken,
               commands,
               answer,
             });
             const worker = this.workers.get(machine.name);
-            if (worker) answer(responseOf(worker.execute(commands), true));
+            if (worker) answer(responseOf(worker.execute(commands, fencingToken), true));
           }),
         inspect: (machine) =>
           new Promise((answer) => {
@@ -96,6 +107,7 @@
       }),
       writer: instantWrites,
       term: TERM,
+      tokens: createTokens(),
       heartbeatGraceMs: HEARTBEAT_GRACE_MS,
     });
   }
@@ -133,8 +145,8 @@
   private exchangeHeartbeats(): void {
     for (const worker of this.workers.values()) {
       if (worker.heartbeatsLost) continue;
-      const commands = this.leader.onHeartbeat(worker.nextHeartbeat());
-      if (commands) worker.execute(commands);
+      const answer = this.leader.onHeartbeat(worker.nextHeartbeat());
+      if (answer) worker.execute(answer.commands, answer.fencingToken);
     }
   }
 }
--- a/test/leader/leader.test.ts
+++ b/test/leader/leader.test.ts
@@ -3,7 +3,16 @@
 import { required } from '../../src/base/required.ts';
 import { encodeOpenRecord } from '../../src/jobs/records.ts';
 import { SETTINGS } from '../config/sample.ts';
-import { EARLIER_TERM, heartbeatOf, jobOf, NO_RESPONSE, responseOf, taskStatus, TERM } from './fakes.ts';
+import {
+  EARLIER_TERM,
+  heartbeatOf,
+  jobOf,
+  LATER_TOKEN,
+  NO_RESPONSE,
+  responseOf,
+  taskStatus,
+  TERM,
+} from './fakes.ts';
 import { LeaderHarness, type SentCommands, type SentProbe } from './harness.ts';
 
 function firstSent(harness: LeaderHarness): SentCommands {
@@ -39,7 +48,7 @@
   assert.equal(workerB.runningTasks(job.id).length, 4);
   const position = { incarnation: 3, sequence: 40, fencingToken: EARLIER_TERM };
   const copy = heartbeatOf('n-lost', 'a', position, [taskStatus(job.id, 11, 1)]);
-  assert.deepEqual(harness.leader.onHeartbeat(copy), []);
+  assert.deepEqual(harness.leader.onHeartbeat(copy)?.commands, []);
   // The tasks end one by one, so that there are always others in zone b.
   for (let round = 0; round < 6; round++) {
     const running = [...workerB.tasks.values()].find((status) => status.phase === 'running');
@@ -54,7 +63,7 @@
 test('a higher fencing token in a response to commands ends the leadership, unless it has ended before', async () => {
   // A node that leads again within a second must not lose its new leadership to a response that belongs to its
   // previous one.
-  const position = { incarnation: 1, sequence: 2, fencingToken: TERM + 1 };
+  const position = { incarnation: 1, sequence: 2, fencingToken: LATER_TOKEN };
   const refusal = responseOf(heartbeatOf('n-1', 'a', position), false);
   const harnessWithSentCommands = async (): Promise<LeaderHarness> => {
     const harness = new LeaderHarness();
@@ -81,7 +90,7 @@
   const job = jobOf('req-000001');
   harness.recover([job], [['n-1', 'a']]);
   await harness.advance(5);
-  const position = { incarnation: 1, sequence: 1, fencingToken: TERM + 1 };
+  const position = { incarnation: 1, sequence: 1, fencingToken: LATER_TOKEN };
   const heartbeat = heartbeatOf('n-1', 'a', position, [taskStatus(job.id, 0, 9)]);
   firstProbe(harness).answer({ kind: 'answered', heartbeat });
   await harness.advance(1);
@@ -123,7 +132,11 @@
   assert.equal(harness.leader.onHeartbeat(idle), null);
   harness.recover([], [['n-1', 'a']]);
   const stop = { op: 'stop', jobId: 'req-000001', task: 0, attempt: 1, graceS: 0 };
-  assert.deepEqual(harness.leader.onHeartbeat(heartbeat(2)), [stop], 'the job is not open any more');
+  assert.deepEqual(
+    harness.leader.onHeartbeat(heartbeat(2))?.commands,
+    [stop],
+    'the job is not open any more',
+  );
 });
 
 test('an older attempt that is still reported does not stop a newer one', async () => {
@@ -224,10 +237,10 @@
   // If the start is executed all the same, the worker is told at once to stop the task.
   const started = taskStatus(job.id, 0, start.attempt);
   const late = heartbeatOf('n-1', 'a', nextPosition(), [started]);
-  assert.equal(harness.leader.onHeartbeat(late)?.[0]?.op, 'stop');
+  assert.equal(harness.leader.onHeartbeat(late)?.commands[0]?.op, 'stop');
   // In a new incarnation no earlier command can be executed any more.
   const restarted = { incarnation: 2, sequence: 99, fencingToken: TERM };
-  assert.deepEqual(harness.leader.onHeartbeat(heartbeatOf('n-1', 'a', restarted)), []);
+  assert.deepEqual(harness.leader.onHeartbeat(heartbeatOf('n-1', 'a', restarted))?.commands, []);
 });
 
 test('a machine that joins after its termination was requested is assigned no tasks', async () => {
@@ -263,7 +276,7 @@
   const heartbeat = heartbeatOf('n-1', 'a', position);
   assert.equal(harness.leader.onHeartbeat(heartbeat), null);
   harness.recover([], []);
-  assert.deepEqual(harness.leader.onHeartbeat(heartbeat), []);
+  assert.deepEqual(harness.leader.onHeartbeat(heartbeat)?.commands, []);
 });
 
 test('a job that failed on the only machine that fits is retried there within 90 s', async () => {
--- a/test/leader/process-pause.test.ts
+++ b/test/leader/process-pause.test.ts
@@ -23,7 +23,7 @@
 import { SETTINGS } from '../config/sample.ts';
 import { failTest, BIG, FakeClock, silent } from '../helpers.ts';
 import { JOB } from '../wire/sample.ts';
-import { fakeCloud, fakeHost, heartbeatOf, NO_RESPONSE, settle, TERM } from './fakes.ts';
+import { createTokens, fakeCloud, fakeHost, heartbeatOf, NO_RESPONSE, settle, TERM } from './fakes.ts';
 
 const LEASE_MS = 3000;
 const JOB_ID = 'req-000412';
@@ -82,7 +82,7 @@
     return new Leader({
       host: fakeHost(this.clock, {
         hasValidLease: () => this.clock.now() < this.leaseValidUntil,
-        sendCommands: (_machine, commands) => {
+        sendCommands: (_machine, _fencingToken, commands) => {
           this.recordStarts(commands);
           return Promise.resolve(NO_RESPONSE);
         },
@@ -109,6 +109,7 @@
       }),
       writer: this.createWriter(),
       term: TERM,
+      tokens: createTokens(),
       heartbeatGraceMs: HEARTBEAT_GRACE_MS,
     });
   }
@@ -165,8 +166,8 @@
   sendHeartbeat(): void {
     this.sequence += 1;
     const position = { incarnation: 1, sequence: this.sequence, fencingToken: TERM };
-    const commands = this.leader.onHeartbeat(heartbeatOf('n-1', 'a', position));
-    if (commands) this.recordStarts(commands);
+    const answer = this.leader.onHeartbeat(heartbeatOf('n-1', 'a', position));
+    if (answer) this.recordStarts(answer.commands);
   }
 
   /**
--- a/test/leadership/leadership-state.test.ts
+++ b/test/leadership/leadership-state.test.ts
@@ -2,8 +2,8 @@
 import test from 'node:test';
 import { LeadershipState } from '../../src/leadership/leadership-state.ts';
 
-const FIRST_LEADERSHIP = { term: 1, version: 10, lease: 100 };
-const SECOND_LEADERSHIP = { term: 2, version: 20, lease: 200 };
+const FIRST_LEADERSHIP = { term: 1, firstToken: 1, version: 10, lease: 100 };
+const SECOND_LEADERSHIP = { term: 2, firstToken: 2, version: 20, lease: 200 };
 
 function createLeadingState(leaseExpiresAt: number): LeadershipState {
   const state = new LeadershipState();
--- a/test/sim/guards.ts
+++ b/test/sim/guards.ts
@@ -1,6 +1,7 @@
 /** Disables safeguards of the controllers, to show that the checker detects the violations that they prevent. */
 import type { HttpResult } from '../../src/http/client.ts';
 import { TerminalWrites } from '../../src/jobs/terminal-writes.ts';
+import { Attempt } from '../../src/workers/attempt.ts';
 import type { Election } from '../../src/leadership/election.ts';
 import type { ControllerOverrides } from '../../src/sim/node.ts';
 import { parseJson, type TransactionBody } from '../../src/sim/protocol.ts';
@@ -34,6 +35,18 @@
   }
 }
 
+/** Runs simulations in which attempts are forgotten and released under the fencing token that started them. */
+export async function runWithoutHigherTokens<T>(run: () => Promise<T>): Promise<T> {
+  // eslint-disable-next-line @typescript-eslint/unbound-method -- only restored afterwards, never called unbound
+  const { isStartAcceptedAfter } = Attempt.prototype;
+  Attempt.prototype.isStartAcceptedAfter = () => false;
+  try {
+    return await run();
+  } finally {
+    Attempt.prototype.isStartAcceptedAfter = isStartAcceptedAfter;
+  }
+}
+
 const EMPTY_LIST = JSON.stringify({ rows: [], hasNext: false, ledger: 1 });
 
 /** Whether a transaction writes only start watermarks, apart from the fence that every transaction of a leader writes. */
--- a/test/workers/attempt-deadlines.test.ts
+++ b/test/workers/attempt-deadlines.test.ts
@@ -17,7 +17,7 @@
   const { job, assign } = setup();
   const attempt = assign(0);
   attempt.noteDirectStartSent();
-  attempt.noteDirectStartCompleted(true);
+  attempt.noteDirectStartCompleted('unanswered', 1);
   return { attempt, job };
 }
 
--- a/test/workers/connectivity.test.ts
+++ b/test/workers/connectivity.test.ts
@@ -17,7 +17,7 @@
 
 /** Lets the machine assess a heartbeat that was not requested and arrives at `now`. */
 function receive(machine: Machine, now: number, fencingToken = TERM, incarnation = 1): void {
-  const context = { direct: false, term: TERM, now, leaseMs: 30_000, heartbeatIntervalMs: 5000 };
+  const context = { direct: false, firstToken: TERM, now, leaseMs: 30_000, heartbeatIntervalMs: 5000 };
   machine.assessConnectivity({ fencingToken, incarnation }, context);
 }
 
--- a/test/workers/fixtures.ts
+++ b/test/workers/fixtures.ts
@@ -23,12 +23,23 @@
   return decoded.value;
 }
 
+/** The fencing token of the heartbeats and commands of these tests, unless they say otherwise. */
+export const FIRST_TOKEN = 1;
+
 /** The job specification that all tests of this folder use. */
 export const SPEC = storedJob();
 
 /** A machine that was added at time 0 and has sent no messages. */
 export function newMachine(zone = 0): Machine {
-  return new Machine({ index: 0, identity: IDENTITY, type: 0, zone, now: 0, leaseRenewedBefore: 0 });
+  return new Machine({
+    index: 0,
+    identity: IDENTITY,
+    type: 0,
+    zone,
+    now: 0,
+    leaseRenewedBefore: 0,
+    firstToken: FIRST_TOKEN,
+  });
 }
 
 /** A heartbeat of the machine that `newMachine` returns. */
@@ -36,7 +47,7 @@
   incarnation: number,
   sequence: number,
   tasks: TaskStatus[] = [],
-  fencingToken = 1,
+  fencingToken = FIRST_TOKEN,
 ): Heartbeat {
   const { name: machine, ...properties } = IDENTITY;
   return { machine, ...properties, incarnation, sequence, fencingToken, interruptionNoticeS: null, tasks };
--- a/test/workers/reconcile.test.ts
+++ b/test/workers/reconcile.test.ts
@@ -7,10 +7,13 @@
   buildCommands,
   isNewerHeartbeat,
   canForget,
+  needsHigherToken,
   noteStartsInResponse,
 } from '../../src/workers/reconcile.ts';
 import { SEED } from '../helpers.ts';
-import { heartbeat, setup, SPEC, taskStatus } from './fixtures.ts';
+import { FIRST_TOKEN, heartbeat, setup, SPEC, taskStatus } from './fixtures.ts';
+
+const HIGHER_TOKEN = FIRST_TOKEN + 1;
 
 test('a start that was not observed is sent again, until a new incarnation releases the attempt', () => {
   const { machine, job, assign } = setup();
@@ -35,7 +38,7 @@
   const attemptInDoubt = assign(0);
   attemptInDoubt.decideStop(0);
   attemptInDoubt.noteDirectStartSent();
-  attemptInDoubt.noteDirectStartCompleted(true);
+  attemptInDoubt.noteDirectStartCompleted('unanswered', FIRST_TOKEN);
   assert.deepEqual(
     applyHeartbeat(machine, heartbeat(1, 2), false, context),
     [],
@@ -45,7 +48,7 @@
   attempt.decideStop(0);
   attempt.noteDirectStartSent();
   assert.deepEqual(applyHeartbeat(machine, heartbeat(1, 3), false, context), [], 'a direct start in flight');
-  attempt.noteDirectStartCompleted(false);
+  attempt.noteDirectStartCompleted('notExecuted', FIRST_TOKEN);
   assert.deepEqual(
     applyHeartbeat(machine, heartbeat(1, 4), true, context),
     [],
@@ -63,13 +66,54 @@
   const done = taskStatus(3, { phase: 'ended', exitReason: 'done' });
   applyHeartbeat(machine, heartbeat(1, 1, [done]), false, context);
   job.markDone(3);
-  assert.equal(canForget(attempt), false);
+  assert.equal(canForget(attempt, HIGHER_TOKEN), false);
   job.markChunkDurable(0, job.chunkBits(0));
-  assert.equal(canForget(attempt), true);
+  assert.equal(canForget(attempt, FIRST_TOKEN), true);
   attempt.noteDirectStartSent();
-  assert.equal(canForget(attempt), false);
-  attempt.noteDirectStartCompleted(true);
-  assert.equal(canForget(attempt), false);
+  assert.equal(canForget(attempt, HIGHER_TOKEN), false);
+  attempt.noteDirectStartCompleted('unanswered', FIRST_TOKEN);
+  assert.equal(canForget(attempt, HIGHER_TOKEN), false);
+});
+
+test('an attempt started by an answered direct command is forgotten only under a higher token', () => {
+  const { machine, job, assign } = setup();
+  const context = { now: 1, jobOf: () => job };
+  applyHeartbeat(machine, heartbeat(1, 1), false, context);
+  const attempt = assign(0);
+  attempt.noteDirectStartSent();
+  attempt.noteDirectStartCompleted('executed', FIRST_TOKEN);
+  const failed = [taskStatus(0, { phase: 'ended', exitReason: 'error' })];
+  applyHeartbeat(machine, heartbeat(1, 2, failed), false, context);
+  assert.ok(attempt.released);
+  assert.deepEqual(buildCommands(machine, true), [], 'a copy of the start would be accepted afterwards');
+  assert.equal(needsHigherToken(machine), true);
+  machine.raiseCommandToken();
+  assert.equal(needsHigherToken(machine), false);
+  assert.equal(buildCommands(machine, true)[0]?.op, 'forget');
+  applyHeartbeat(machine, heartbeat(1, 3, [], HIGHER_TOKEN), false, context);
+  assert.equal(machine.attempts.size, 0);
+});
+
+test('an attempt that a worker has lost is released only once the worker refuses copies of its start', () => {
+  const { machine, job, assign } = setup();
+  const context = { now: 1, jobOf: () => job };
+  applyHeartbeat(machine, heartbeat(1, 1), false, context);
+  const attempt = assign(0);
+  attempt.noteDirectStartSent();
+  attempt.noteDirectStartCompleted('executed', FIRST_TOKEN);
+  applyHeartbeat(machine, heartbeat(1, 2, [taskStatus(0)]), false, context);
+  assert.deepEqual(applyHeartbeat(machine, heartbeat(1, 3), false, context), []);
+  assert.equal(needsHigherToken(machine), true);
+  attempt.decideStop(0);
+  assert.deepEqual(buildCommands(machine, true), [], 'the worker does not hold what it would stop');
+  const events = applyHeartbeat(machine, heartbeat(1, 4, [], HIGHER_TOKEN), false, context);
+  assert.deepEqual(events, [{ kind: 'released', attempt, checkpointed: false }]);
+});
+
+test('commands carry no lower token than the worker has shown', () => {
+  const { machine, job } = setup();
+  applyHeartbeat(machine, heartbeat(1, 1, [], 40), false, { now: 1, jobOf: () => job });
+  assert.equal(machine.commandToken, 40);
 });
 
 test('an attempt is not forgotten while a response with its start may still be on its way', () => {
