A raised fencing token settles a start in doubt, so its machine is kept

Users saw machines returned with all tasks on them: when a start command had no answer and its task was cancelled or stopped, the command might be carried out as long as the worker's session lasted, so after a quarter of cancel_s the machine was terminated, or its lease left to expire.

Since tokens can be raised within a leadership, that is no longer the only certain end: a worker that has shown a higher token than the command carried refuses it. Such an attempt now asks for a higher token like one to be forgotten, and is released with the first report under it that lacks the attempt. Termination stays for machines that don't hear from this leader, at the same bound. An ended attempt whose start had been in doubt is forgotten the same way; before, its worker reported it until its session ended.

--- a/src/workers/attempt.ts
+++ b/src/workers/attempt.ts
@@ -58,7 +58,7 @@
   private directStartsInFlightCount = 0;
   private startMayBeExecuted = false;
   private highestStartToken: number | null = null;
-  private isMissing = false;
+  private isReleaseAwaitingToken = false;
   private responseMayCarryStart = false;
   /** When the monitor first found that the task may still start though its job is cancelled, or null. */
   private unwantedStartSinceMs: number | null = null;
@@ -93,20 +93,23 @@
   /** Records the phase that the worker reports. Returns true if the task has started to run. */
   observe(phase: TaskPhase, now: number): boolean {
     const beginsToRun = phase === 'running' && this.currentPhase !== 'running';
-    this.isMissing = false;
+    this.isReleaseAwaitingToken = false;
     this.currentPhase = phase;
     if (beginsToRun) this.runningSinceMs = now;
     return beginsToRun;
   }
 
-  /** Whether the worker reported the attempt before and no longer does, without having been told to forget it. */
-  get missing(): boolean {
-    return this.isMissing;
+  /**
+   * Whether the attempt is released once its worker shows a higher token than its start had: the worker's latest report
+   * lacks it, and it must stop or was reported before.
+   */
+  get awaitsHigherToken(): boolean {
+    return this.isReleaseAwaitingToken;
   }
 
-  /** The worker's latest report lacks the attempt, which it reported before. */
-  noteMissing(): void {
-    this.isMissing = true;
+  /** The worker's latest report lacks the attempt, but the worker would still accept its start. */
+  awaitHigherToken(): void {
+    this.isReleaseAwaitingToken = true;
   }
 
   /** Whether the attempt is no longer live: it has ended, or can't be on its machine any more. */
@@ -159,7 +162,10 @@
     return this.highestStartToken !== null && token <= this.highestStartToken;
   }
 
-  /** Whether a direct start had no answer: it may be executed as long as the worker's incarnation lasts. */
+  /**
+   * Whether a direct start had no answer: it may be executed until the worker's incarnation ends, or the worker has seen
+   * a higher token.
+   */
   get startInDoubt(): boolean {
     return this.startMayBeExecuted;
   }
@@ -169,11 +175,6 @@
     return this.responseMayCarryStart;
   }
 
-  /** Whether no direct start is in flight or in doubt. Copies of those that were answered may still arrive. */
-  get directStartsSettled(): boolean {
-    return !this.startMayBeExecuted && this.directStartsInFlightCount === 0;
-  }
-
   /** A direct command with the start is sent. */
   noteDirectStartSent(): void {
     this.directStartsInFlightCount += 1;
@@ -187,6 +188,11 @@
     if (delivery === 'unanswered') this.startMayBeExecuted = true;
   }
 
+  /** The worker has seen this token: a start in doubt with a lower one is not executed any more. */
+  noteTokenSeen(token: number): void {
+    if (!this.isStartAcceptedAfter(token)) this.startMayBeExecuted = false;
+  }
+
   /** The response to a heartbeat carries the start. */
   noteStartInResponse(): void {
     this.responseMayCarryStart = true;
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -162,6 +162,7 @@
     this.connectivity.noteMessage(direct, now);
     this.reclaimAtMs =
       heartbeat.interruptionNoticeS === null ? null : now + heartbeat.interruptionNoticeS * 1000;
+    for (const attempt of this.attempts.values()) attempt.noteTokenSeen(heartbeat.fencingToken);
     if (direct) return;
     // A worker has one heartbeat in flight at a time, so the responses to earlier ones are executed or discarded.
     for (const attempt of this.attempts.values()) attempt.noteResponseSettled();
--- a/src/workers/reconcile.ts
+++ b/src/workers/reconcile.ts
@@ -121,12 +121,12 @@
     if (reported.has(key)) continue;
     // The worker has reported the attempt before and doesn't any more: it has forgotten the attempt.
     const forgotten = attempt.observed;
-    // The task must stop, and its start can't be executed any more: the worker has executed or discarded the responses
-    // before this heartbeat, and no direct start is in flight or in doubt.
-    const neverStarts = attempt.stopGraceS !== null && !direct && attempt.directStartsSettled;
-    if (!forgotten && !neverStarts) continue;
+    // The task must stop, and its start is on no way to the worker: the worker has executed or discarded the responses
+    // before this heartbeat, and no direct start is in flight.
+    const mustNotStart = attempt.stopGraceS !== null && !direct && attempt.directStartsInFlight === 0;
+    if (!forgotten && !mustNotStart) continue;
     if (attempt.isStartAcceptedAfter(seenToken)) {
-      attempt.noteMissing();
+      attempt.awaitHigherToken();
       continue;
     }
     machine.attempts.delete(key);
@@ -151,7 +151,7 @@
  * no response with its start is on its way, and if the task is done, its completion is durable.
  */
 function isForgettable(attempt: Attempt): boolean {
-  if (attempt.phase !== 'ended' || !attempt.directStartsSettled || attempt.startInResponse) return false;
+  if (attempt.phase !== 'ended' || attempt.directStartsInFlight > 0 || attempt.startInResponse) return false;
   return attempt.exitReason !== 'done' || attempt.job === null || attempt.job.isDurable(attempt.task);
 }
 
@@ -171,7 +171,7 @@
 export function needsHigherToken(machine: Machine): boolean {
   for (const attempt of machine.attempts.values()) {
     if (!attempt.isStartAcceptedAfter(machine.commandToken)) continue;
-    if (attempt.missing || isForgettable(attempt)) return true;
+    if (attempt.awaitsHigherToken || isForgettable(attempt)) return true;
   }
   return false;
 }
@@ -192,7 +192,7 @@
     if (attempt.phase === 'ended') {
       if (canForget(attempt, machine.commandToken)) commands.push({ op: 'forget', ...target });
     } else if (attempt.stopGraceS !== null) {
-      if (attempt.observed && !attempt.missing)
+      if (attempt.observed && !attempt.awaitsHigherToken)
         commands.push({ op: 'stop', ...target, graceS: attempt.stopGraceS });
     } else if (!attempt.observed && canStart && isStartDurable(attempt)) {
       commands.push({ op: 'start', ...target });
--- a/test/leader/leader.test.ts
+++ b/test/leader/leader.test.ts
@@ -243,6 +243,35 @@
   assert.deepEqual(harness.leader.onHeartbeat(heartbeatOf('n-1', 'a', restarted))?.commands, []);
 });
 
+test('a cancelled start in doubt is settled by a higher token, and its machine is kept', async () => {
+  const harness = new LeaderHarness();
+  const job = jobOf('req-000001', { tasks: 1 });
+  const other = jobOf('req-000002', { tasks: 1 });
+  harness.recover([other], [['n-1', 'a']]);
+  const runsOther = [taskStatus(other.id, 0, 2)];
+  let sequence = 0;
+  let fencingToken = TERM;
+  const advanceWithHeartbeats = async (seconds: number): Promise<void> => {
+    for (let second = 0; second < seconds; second++) {
+      sequence += 1;
+      const position = { incarnation: 1, sequence, fencingToken };
+      const answer = harness.leader.onHeartbeat(heartbeatOf('n-1', 'a', position, runsOther));
+      fencingToken = required(answer, 'answer that renews the lease').fencingToken;
+      await harness.advance(1);
+    }
+  };
+  await advanceWithHeartbeats(10);
+  harness.leader.observeOpenRecord(job.id, encodeOpenRecord(job, harness.clock.wall()));
+  await harness.advance(1);
+  const sent = firstSent(harness);
+  assert.equal(sent.commands[0]?.op, 'start');
+  sent.answer(NO_RESPONSE);
+  assert.ok(harness.leader.cancel(job.id, () => undefined));
+  await advanceWithHeartbeats(SETTINGS.settings.workers.cancel_s);
+  assert.ok(fencingToken > sent.fencingToken, 'its worker refuses the start by then');
+  assert.deepEqual(harness.terminated, []);
+});
+
 test('a machine that joins after its termination was requested is assigned no tasks', async () => {
   const harness = new LeaderHarness();
   harness.cloudAvailable = false;
