Logs follow one attempt by id: commands, tokens, recovery, and tasks held twice

The records of the incident could not tell from the controllers' logs which call carried which command, under which token, and what was taken for settled: at info they name placements only, at debug no attempt number.

Now: 'command sent' and 'direct commands completed' with attempt, machine, incarnation, token and path, 'fencing token raised', 'task running' and 'task ended' with the attempt (debug); 'stored state read' with revision and counts, tokens and duration of a leadership, 'unexpected attempt found', 'task held by two attempts', and how many tasks a completed job still held (info and above).

--- a/src/controller/leadership-session.ts
+++ b/src/controller/leadership-session.ts
@@ -83,6 +83,7 @@
     const leader = this.startLeader(catalog, fence.value?.version ?? 0);
     const stored = await this.readState();
     if (!stored) return;
+    this.logStoredState(stored);
     this.enqueueWhileLeading(leader, () => {
       leader.recover(stored);
     });
@@ -204,6 +205,18 @@
     return null;
   }
 
+  private logStoredState(stored: StoredState): void {
+    const fields = {
+      term: this.leadership.term,
+      revision: stored.revision,
+      jobRecords: stored.open.length,
+      completionChunks: stored.completions.length,
+      watermarkPages: stored.startWatermarks.length,
+      registryPages: stored.machineRegistry.length,
+    };
+    this.context.log.info(fields, 'stored state read');
+  }
+
   /** Adds a step to the controller's command queue; it is skipped if the leadership is lost before its turn. */
   private enqueueWhileLeading(leader: Leader, step: () => void): void {
     this.context.enqueue(() => {
--- a/src/leader/attempts.ts
+++ b/src/leader/attempts.ts
@@ -16,6 +16,7 @@
 import type { LeaderDeps } from './context.ts';
 import type { Completion } from './completion.ts';
 import type { Gangs } from './gangs.ts';
+import { describeAttempt, TaskLog } from './task-log.ts';
 
 /** Attempt numbers of one term: the term is their upper part. */
 const ATTEMPTS_PER_TERM = 2 ** 24;
@@ -37,8 +38,11 @@
 /** Creates the attempts of one leadership, and applies what workers report of them to their jobs. */
 export class Attempts {
   private count = 0;
+  private readonly taskLog: TaskLog;
 
-  constructor(private readonly deps: AttemptsDeps) {}
+  constructor(private readonly deps: AttemptsDeps) {
+    this.taskLog = new TaskLog(deps.host.log);
+  }
 
   private now(): number {
     return this.deps.host.clock.now();
@@ -113,6 +117,7 @@
   private onObserved(attempt: Attempt): void {
     const { job } = attempt;
     if (!job) {
+      this.taskLog.attemptFound(attempt);
       attempt.decideStop(0);
       return;
     }
@@ -122,6 +127,7 @@
       return;
     }
     // A task that an earlier leader started.
+    this.taskLog.attemptFound(attempt);
     this.deps.cluster.track(attempt);
     if (!job.adopt(attempt.task)) this.stopOlder(job, attempt);
     if (job.pendingOutcome !== null) attempt.decideStop(0);
@@ -140,7 +146,9 @@
     }
     for (const other of this.deps.cluster.liveAttempts.get(job) ?? []) {
       if (other === attempt || other.task !== attempt.task) continue;
-      this.deps.cluster.stop(other.number < attempt.number ? other : attempt, 0);
+      const [older, newer] = other.number < attempt.number ? [other, attempt] : [attempt, other];
+      if (other.observed) this.taskLog.taskHeldTwice(older, newer);
+      this.deps.cluster.stop(older, 0);
     }
   }
 
@@ -148,9 +156,7 @@
     if (attempt.job) attempt.job.runningCount += 1;
     this.deps.host.log.debug(
       {
-        job: attempt.jobId,
-        task: attempt.task,
-        machine: attempt.machine.name,
+        ...describeAttempt(attempt),
         type: attempt.machine.identity.machineType,
         afterMs: Math.round(this.now() - attempt.assignedAt),
       },
@@ -180,9 +186,7 @@
   private logEnd(attempt: Attempt, checkpointed: boolean): void {
     this.deps.host.log.debug(
       {
-        job: attempt.jobId,
-        task: attempt.task,
-        machine: attempt.machine.name,
+        ...describeAttempt(attempt),
         exitReason: attempt.exitReason,
         checkpointed,
         afterMs: this.now() - attempt.assignedAt,
--- a/src/leader/command-dispatcher.ts
+++ b/src/leader/command-dispatcher.ts
@@ -8,6 +8,7 @@
 import type { CommandResult, InspectResult } from '../workers/worker-client.ts';
 import type { Cluster } from './cluster.ts';
 import type { LeaderDeps } from './context.ts';
+import { TaskLog } from './task-log.ts';
 
 /**
  * Greatest number of probes in flight: a ratio of all machines, but at least this many. After a failover, or when many
@@ -32,13 +33,16 @@
   /** Machines that left a direct request unanswered since any machine last answered one. */
   private readonly unanswered = new Set<Machine>();
   private answeredAt = -Infinity;
+  private readonly taskLog: TaskLog;
 
   constructor(
     private readonly cluster: Cluster,
     private readonly deps: Pick<LeaderDeps, 'host' | 'tokens'>,
     /** Applies what a worker answered. */
     private readonly onResponse: (heartbeat: Heartbeat) => void,
-  ) {}
+  ) {
+    this.taskLog = new TaskLog(deps.host.log);
+  }
 
   /** Whether new tasks may start on the machine now. */
   canStartOn(machine: Machine): boolean {
@@ -92,9 +96,11 @@
     for (const attempt of started) attempt.noteDirectStartSent();
     const { host } = this.deps;
     const token = machine.commandToken;
+    this.taskLog.commandsSent(machine, token, commands, 'directCommand');
     const settle = (result: CommandResult): void => {
       host.enqueue(() => {
         for (const attempt of started) attempt.noteDirectStartCompleted(startDelivery(result), token);
+        this.taskLog.commandsCompleted(machine, token, result);
         this.onCommandResult(machine, result);
       });
     };
--- a/src/leader/completion.ts
+++ b/src/leader/completion.ts
@@ -90,7 +90,8 @@
     host.onTerminalState(job.id, job.status());
     for (const notify of job.onTerminal) notify();
     job.onTerminal.length = 0;
-    host.log.info({ job: job.id, outcome }, 'job completed');
+    const heldTasks = this.cluster.liveAttempts.get(job)?.size ?? 0;
+    host.log.info({ job: job.id, outcome, heldTasks }, 'job completed');
     this.cluster.removeIfCompleted(job);
   }
 
--- a/src/leader/heartbeat-intake.ts
+++ b/src/leader/heartbeat-intake.ts
@@ -14,6 +14,7 @@
 import type { CommandDispatcher } from './command-dispatcher.ts';
 import type { LeaderDeps } from './context.ts';
 import type { MachineMembership } from './machine-membership.ts';
+import { TaskLog } from './task-log.ts';
 import type { TokenReservation } from './token-reservation.ts';
 
 /** The parts of a leadership that heartbeats are applied to. */
@@ -35,10 +36,14 @@
 
 /** Applies messages of workers to the state of the leadership, and answers heartbeats with commands. */
 export class HeartbeatIntake {
+  private readonly taskLog: TaskLog;
+
   constructor(
     private readonly parts: HeartbeatIntakeParts,
     private readonly deps: LeaderDeps,
-  ) {}
+  ) {
+    this.taskLog = new TaskLog(deps.host.log);
+  }
 
   /** A worker's own heartbeat. Returns the answer, or null if it must not be answered with 200. */
   onHeartbeat(heartbeat: Heartbeat): HeartbeatAnswer | null {
@@ -55,6 +60,7 @@
     if (machine.awaitingLeaseExpiry) return null;
     const commands = buildCommands(machine, dispatcher.canStartOn(machine));
     noteStartsInResponse(machine, commands);
+    this.taskLog.commandsSent(machine, machine.commandToken, commands, 'heartbeatResponse');
     return { fencingToken: machine.commandToken, commands };
   }
 
@@ -123,7 +129,10 @@
   private raiseTokenIfNeeded(machine: Machine): void {
     const { tokens } = this.deps;
     if (machine.commandInFlight || !needsHigherToken(machine)) return;
-    if (machine.commandToken < tokens.last) machine.raiseCommandToken();
+    if (machine.commandToken < tokens.last) {
+      machine.raiseCommandToken();
+      this.taskLog.tokenRaised(machine);
+    }
     this.parts.tokenReservation.noteUsed(machine.commandToken);
   }
 
--- a/src/leader/token-reservation.ts
+++ b/src/leader/token-reservation.ts
@@ -10,7 +10,7 @@
 interface TokenReservationDeps {
   readonly tokens: FencingTokens;
   readonly writer: Pick<WriteQueue, 'enqueue'>;
-  readonly host: Pick<LeaderHost, 'enqueue'>;
+  readonly host: Pick<LeaderHost, 'enqueue' | 'log'>;
 }
 
 /**
@@ -31,6 +31,7 @@
     const onCommitted = (): void => {
       host.enqueue(() => {
         tokens.extendTo(last);
+        host.log.info({ lastToken: last }, 'fencing tokens reserved');
         this.writing = false;
       });
     };
--- a/src/leadership/election.ts
+++ b/src/leadership/election.ts
@@ -1,6 +1,6 @@
 /**
  * Leader election by a key in the key-value store that is attached to a lease. The transaction that puts the key also
- * increments the term, which is the fencing token of all messages of the leader. The holder measures its lease from
+ * raises the term, which bounds the fencing tokens of the leader's messages. The holder measures its lease from
  * the time at which it sent the renewal.
  */
 import type { Clock } from '../base/clock.ts';
@@ -60,6 +60,8 @@
   private readonly leaderlessWrites: LeaderlessWrites;
   private readonly peerLeases: PeerLeaseExtension;
   private readonly stopping = new AbortController();
+  /** When this controller last became leader, in milliseconds on the steady clock. */
+  private acquiredAt = -Infinity;
 
   constructor(private readonly deps: ElectionDeps) {
     const { clock, store, log, requestPeerLeases } = deps;
@@ -154,7 +156,8 @@
   stepDown(reason: string): void {
     const ended = this.state.onLeadershipEnded();
     if (!ended) return;
-    this.deps.log.info({ term: ended.term, reason }, 'leadership lost');
+    const ledMs = Math.round(this.deps.clock.now() - this.acquiredAt);
+    this.deps.log.info({ term: ended.term, reason, ledMs }, 'leadership lost');
     this.deps.events.lost(reason);
     this.runInBackground(this.deps.store.revokeLease(ended.lease));
   }
@@ -167,7 +170,9 @@
 
   private becomeLeader(leadership: Leadership, leaseExpiresAt: number): void {
     this.state.onLeadershipAcquired(leadership, leaseExpiresAt);
-    this.deps.log.info({ term: leadership.term }, 'leadership acquired');
+    const { term, firstToken } = leadership;
+    this.acquiredAt = this.deps.clock.now();
+    this.deps.log.info({ term, firstToken, lastToken: term }, 'leadership acquired');
     this.runInBackground(this.createLeaseRenewal(leadership).run());
     this.deps.events.acquired(leadership);
   }
--- a/standins/cloud.ts
+++ b/standins/cloud.ts
@@ -1,6 +1,6 @@
 import type { Server } from 'node:http';
 import { serveJson, type Answer } from './http.ts';
-import { WorkerStandIn, type MachineIdentity, type JobDescriptions } from './worker.ts';
+import { WorkerStandIn, type JobDescriptions, type MachineIdentity, type WorkerState } from './worker.ts';
 
 const MACHINE_TYPES = [
   { name: 'c4', cores: 4, accelerators: 0, memGb: 16, rate: 0.2, spotPrice: 0.1, startupS: 2 },
@@ -36,6 +36,13 @@
     for (const m of this.machines.values()) m.worker.stop();
   }
 
+  /** What the running workers have seen. */
+  workers(): WorkerState[] {
+    return [...this.machines.values()]
+      .filter((machine) => machine.running)
+      .map((machine) => machine.worker.state());
+  }
+
   private route(method: string, url: URL, body: Record<string, unknown>): Answer {
     if (url.pathname === '/catalog') return { status: 200, body: { ovens: MACHINE_TYPES } };
     if (url.pathname === '/rentals/return') {
--- a/standins/worker.ts
+++ b/standins/worker.ts
@@ -25,6 +25,13 @@
 /** Descriptions of the submitted jobs by job id, which workers fetch from the users. */
 export type JobDescriptions = Map<string, { loaves: number; shape: string; bakeS: number }>;
 
+/** What a worker has seen of its controllers. */
+export interface WorkerState {
+  /** The highest fencing token. */
+  token: number;
+  incarnation: number;
+}
+
 const LEASE_MS = 20_000;
 const HEARTBEAT_INTERVAL_MS = 1500;
 
@@ -58,6 +65,11 @@
     WorkerStandIn.running.delete(this);
   }
 
+  /** What this worker has seen so far. */
+  state(): WorkerState {
+    return { token: this.fencingToken, incarnation: this.incarnation };
+  }
+
   private createHeartbeat(): object {
     this.sequenceNumber += 1;
     return {
--- a/test/leader/token-reservation.test.ts
+++ b/test/leader/token-reservation.test.ts
@@ -3,6 +3,7 @@
 import type { WriteQueue } from '../../src/leader/context.ts';
 import { TokenReservation } from '../../src/leader/token-reservation.ts';
 import type { QueuedWrite } from '../../src/store/write-queues.ts';
+import { silent } from '../helpers.ts';
 import { FencingTokens, TOKENS_PER_RESERVATION } from '../../src/workers/fencing-tokens.ts';
 
 test('further tokens are used only once the term record that exceeds them is durable', () => {
@@ -14,6 +15,7 @@
     },
   };
   const host = {
+    log: silent,
     enqueue: (command: () => void) => {
       command();
     },
