A worker that is back without its state keeps no lease that counts as not renewed

The answers renewed the worker's lease, while the leader counted it from before, took it for expired and started what the worker had got since elsewhere.

Change: a heartbeat that is not newer is answered only within one interval after the newest message, when a direct answer may have overtaken it, and that answer counts as a renewal. Else the worker is redirected and its lease runs out, as the leader counts. The answer to a request of our own that is not newer than what was known when it was sent proves that the worker lost its state (a heartbeat may be a copy, such an answer can't be): its machine is terminated (reason workerReset), which alone makes certain what is on it.

Evidence: the emulator has machines that are back, as they were or emptied.

--- a/src/leader/command-dispatcher.ts
+++ b/src/leader/command-dispatcher.ts
@@ -4,7 +4,7 @@
 import type { Command, Heartbeat } from '../wire/worker.ts';
 import { attemptKey, type Attempt, type StartDelivery } from '../workers/attempt.ts';
 import type { Machine } from '../workers/machine.ts';
-import { buildCommands, isStartDurable } from '../workers/reconcile.ts';
+import { buildCommands, isStartDurable, type MessagePosition } from '../workers/reconcile.ts';
 import type { CommandResult, InspectResult } from '../workers/worker-client.ts';
 import type { Cluster } from './cluster.ts';
 import type { LeaderDeps } from './context.ts';
@@ -38,8 +38,8 @@
   constructor(
     private readonly cluster: Cluster,
     private readonly deps: Pick<LeaderDeps, 'host' | 'tokens'>,
-    /** Applies what a worker answered. */
-    private readonly onResponse: (heartbeat: Heartbeat) => void,
+    /** Applies what a worker answered to a request that was sent when its newest message was the given one. */
+    private readonly onResponse: (heartbeat: Heartbeat, knownAtRequest: MessagePosition) => void,
   ) {
     this.taskLog = new TaskLog(deps.host.log);
   }
@@ -96,12 +96,13 @@
     for (const attempt of started) attempt.noteDirectStartSent();
     const { host } = this.deps;
     const token = machine.commandToken;
+    const known = machine.newestMessage;
     this.taskLog.commandsSent(machine, token, commands, 'directCommand');
     const settle = (result: CommandResult): void => {
       host.enqueue(() => {
         for (const attempt of started) attempt.noteDirectStartCompleted(startDelivery(result), token);
         this.taskLog.commandsCompleted(machine, token, result);
-        this.onCommandResult(machine, result);
+        this.onCommandResult(machine, known, result);
       });
     };
     host.sendCommands(machine, token, commands).then(settle, (error: unknown) => {
@@ -110,7 +111,7 @@
     });
   }
 
-  private onCommandResult(machine: Machine, result: CommandResult): void {
+  private onCommandResult(machine: Machine, known: MessagePosition, result: CommandResult): void {
     const now = this.deps.host.clock.now();
     if (result.kind !== 'answered') {
       machine.endCommand(now + UNANSWERED_PAUSE_MS);
@@ -120,7 +121,7 @@
     }
     machine.endCommand(now + (result.executed ? EXECUTED_PAUSE_MS : REFUSED_PAUSE_MS));
     this.noteAnswer(machine, now);
-    this.onResponse(result.heartbeat);
+    this.onResponse(result.heartbeat, known);
   }
 
   /** Asks a worker for its state: its heartbeats may be lost on the way while it lives, or our responses to it. */
@@ -128,11 +129,12 @@
     if (this.probing.has(machine) || this.probing.size >= this.maxConcurrentProbes()) return;
     if (machine.identity.address === '') return;
     this.probing.add(machine);
+    const known = machine.newestMessage;
     const { host } = this.deps;
     const settle = (result: InspectResult): void => {
       this.allowProbeAfterPause(machine);
       host.enqueue(() => {
-        this.onProbeResult(machine, result);
+        this.onProbeResult(machine, known, result);
       });
     };
     host.inspect(machine).then(settle, (error: unknown) => {
@@ -154,7 +156,7 @@
     this.deps.host.pause(PROBE_PAUSE_MS).then(allow, allow);
   }
 
-  private onProbeResult(machine: Machine, result: InspectResult): void {
+  private onProbeResult(machine: Machine, known: MessagePosition, result: InspectResult): void {
     if (result.kind !== 'answered') {
       machine.connectivity.noteFailedProbe();
       this.unanswered.add(machine);
@@ -163,7 +165,8 @@
     this.noteAnswer(machine, this.deps.host.clock.now());
     // A higher token shows that another controller leads by now, so the state of this worker is not applied. The lease,
     // heartbeats and responses to commands end this leadership.
-    if (!this.deps.tokens.isSuperseding(result.heartbeat.fencingToken)) this.onResponse(result.heartbeat);
+    const { heartbeat } = result;
+    if (!this.deps.tokens.isSuperseding(heartbeat.fencingToken)) this.onResponse(heartbeat, known);
   }
 
   private noteAnswer(machine: Machine, now: number): void {
--- a/src/leader/heartbeat-intake.ts
+++ b/src/leader/heartbeat-intake.ts
@@ -5,7 +5,9 @@
 import {
   applyHeartbeat,
   buildCommands,
+  isAnswerOfResetWorker,
   isNewerHeartbeat,
+  type MessagePosition,
   needsHigherToken,
   noteStartsInResponse,
 } from '../workers/reconcile.ts';
@@ -52,6 +54,7 @@
     // Before recovery no cancellation is known: an answer would renew the lease of tasks that must be gone within
     // `cancel_s`, without stopping them. Their worker tries again a second later.
     if (!cluster.recovered) return null;
+    if (this.isOutdated(heartbeat)) return null;
     const machine = this.applyMessage(heartbeat, false);
     if (!machine) {
       membership.noteAnswerBeforeJoining();
@@ -64,11 +67,40 @@
     return { fencingToken: machine.commandToken, commands };
   }
 
-  /** What a worker answered to commands or to a probe. */
-  onDirectResponse(heartbeat: Heartbeat): void {
+  /**
+   * What a worker answered to commands or to a probe. `knownAtRequest`: the worker's newest message when the request was
+   * sent.
+   */
+  onDirectResponse(heartbeat: Heartbeat, knownAtRequest: MessagePosition): void {
     if (this.isSuperseded(heartbeat)) return;
     // Only of machines that are still members: an answer can be older than the machine's termination.
-    if (this.parts.cluster.machines.has(heartbeat.machine)) this.applyMessage(heartbeat, true);
+    const machine = this.parts.cluster.machines.get(heartbeat.machine);
+    if (!machine) return;
+    if (isAnswerOfResetWorker(heartbeat, knownAtRequest)) this.terminateReset(machine, heartbeat);
+    else this.applyMessage(heartbeat, true);
+  }
+
+  /**
+   * A worker that lost its state has lost its tasks too, and its messages can't be told from late copies of its earlier
+   * ones. Only the termination of its machine makes certain what is on it.
+   */
+  private terminateReset(machine: Machine, { incarnation, sequence }: Heartbeat): void {
+    if (machine.terminating) return;
+    const fields = { machine: machine.name, reason: 'workerReset', incarnation, sequence };
+    this.deps.host.log.info({ ...fields, known: machine.newestMessage }, 'machine terminated');
+    this.parts.provisioner.terminate([machine.name]);
+  }
+
+  /**
+   * Whether the heartbeat is a late copy, or comes from a worker that lost its state, and must not be answered: the
+   * answer would renew a lease that counts as not renewed. A heartbeat that the answer to a direct request has overtaken
+   * arrives within one interval after that answer.
+   */
+  private isOutdated(heartbeat: Heartbeat): boolean {
+    const machine = this.parts.cluster.machines.get(heartbeat.machine);
+    if (!machine || isNewerHeartbeat(machine, heartbeat)) return false;
+    const heartbeatIntervalMs = this.deps.settings.settings.workers.report_s * 1000;
+    return this.deps.host.clock.now() - machine.connectivity.lastMessageAt > heartbeatIntervalMs;
   }
 
   /** A higher fencing token than ours shows that another controller leads by now. */
@@ -84,9 +116,12 @@
     const now = this.deps.host.clock.now();
     const machine = cluster.machines.get(heartbeat.machine) ?? membership.admit(heartbeat);
     if (!machine) return null;
-    if (!isNewerHeartbeat(machine, heartbeat) || this.isStale(machine, heartbeat)) {
-      // The heartbeat was sent before the newest known message, so the lease that its answer renews begins before that
-      // message.
+    if (!isNewerHeartbeat(machine, heartbeat)) {
+      if (!direct) machine.noteLeaseRenewal(now);
+      return machine;
+    }
+    if (this.isStale(machine, heartbeat)) {
+      // The worker holds no task that counts, so its lease matters for none.
       if (!direct) machine.noteLeaseRenewal(machine.connectivity.lastMessageAt);
       return machine;
     }
--- a/src/leader/leader.ts
+++ b/src/leader/leader.ts
@@ -83,9 +83,9 @@
       completion: this.completion,
       startWatermarks: this.startWatermarks,
     });
-    this.dispatcher = new CommandDispatcher(this.cluster, deps, (heartbeat) => {
+    this.dispatcher = new CommandDispatcher(this.cluster, deps, (heartbeat, knownAtRequest) => {
       // Answers still arrive after the end of this leadership.
-      if (!this.stopped) this.heartbeats.onDirectResponse(heartbeat);
+      if (!this.stopped) this.heartbeats.onDirectResponse(heartbeat, knownAtRequest);
     });
     this.rounds = new SchedulingRounds(this.cluster, this.provisioner, snapshots, this.attempts, deps);
     this.monitor = new MachineMonitor({
--- a/src/sim/emulator.ts
+++ b/src/sim/emulator.ts
@@ -355,6 +355,9 @@
       case 'odd_requests':
         this.users.startOddRequests(ms);
         break;
+      case 'machine_restart':
+        for (const worker of this.selectMachines(fault.machines)) worker.restart(ms, fault.emptied);
+        break;
       default:
         for (const worker of this.selectMachines(fault.machines))
           this.injectMachineFault(fault.kind, worker, ms);
--- a/src/sim/faults.ts
+++ b/src/sim/faults.ts
@@ -50,6 +50,11 @@
   | { kind: 'machine_deaf'; machines: MachineChoice }
   /** The machines' connections to controllers are refused, while direct commands reach the machines. */
   | { kind: 'machine_mute'; machines: MachineChoice }
+  /**
+   * The machines are away for `forS` seconds and refuse connections. Their workers come back as they were, or `emptied`:
+   * without tasks, and with incarnation, sequence number and token from the beginning.
+   */
+  | { kind: 'machine_restart'; machines: MachineChoice; emptied: boolean }
   /** New machines are up within two seconds. */
   | { kind: 'quick_boots' }
   | { kind: 'cloud_trouble' }
--- a/src/sim/worker.ts
+++ b/src/sim/worker.ts
@@ -93,6 +93,9 @@
   private fencingToken = 0;
   private removed = false;
   private hungUntil = 0;
+  private awayUntil = 0;
+  /** Number of restarts: answers to heartbeats from before a restart are lost. */
+  private restartCount = 0;
   private reclaimAt: number | null = null;
   private readonly tasks = new Map<string, Task>();
   private readonly leaseMs: number;
@@ -133,7 +136,7 @@
   }
 
   isUp(): boolean {
-    return !this.removed;
+    return !this.removed && this.context.queue.nowMs >= this.awayUntil;
   }
 
   heldUntil(): number {
@@ -157,6 +160,26 @@
     });
   }
 
+  /**
+   * Takes the machine away for some time, in which it refuses connections. Its worker comes back as it was; or emptied,
+   * with everything from the beginning.
+   */
+  restart(ms: number, emptied: boolean): void {
+    const { queue } = this.context;
+    this.awayUntil = Math.max(this.awayUntil, queue.nowMs + ms);
+    this.restartCount += 1;
+    this.heartbeatInFlight = false;
+    this.earliestSendAt = this.awayUntil;
+    if (emptied) {
+      this.killAllTasks();
+      this.incarnation = 1;
+      this.sequenceNumber = 0;
+      this.fencingToken = 0;
+      this.leaseRenewedAt = this.awayUntil;
+    }
+    this.reportChange();
+  }
+
   /** Removes the machine and kills its tasks. */
   remove(): void {
     if (this.removed) return;
@@ -223,12 +246,13 @@
     this.hasChanges = false;
     this.lastSentAt = queue.nowMs;
     const sent = { at: queue.nowMs, incarnation: this.incarnation };
+    const { restartCount } = this;
     const heartbeat = this.createHeartbeat();
     this.context.onHeartbeat(heartbeat);
     const request = { method: 'POST', path: '/checkin', body: JSON.stringify(heartbeat) };
     const controller = required(controllers[this.controllerIndex], 'controller to report to');
     void network.exchange(this, controller, request, HEARTBEAT_TIMEOUT_MS).then((result) => {
-      if (this.removed) return;
+      if (this.removed || restartCount !== this.restartCount) return;
       this.heartbeatInFlight = false;
       this.handleResult(result, sent);
       this.scheduleHeartbeat();
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -113,6 +113,11 @@
     return this.knownSequence;
   }
 
+  /** Incarnation and sequence number of the newest message that was applied. */
+  get newestMessage(): { incarnation: number; sequence: number } {
+    return { incarnation: this.knownIncarnation, sequence: this.knownSequence };
+  }
+
   /** The highest fencing token that the worker has shown. */
   get fencingToken(): number {
     return this.highestFencingToken;
--- a/src/workers/reconcile.ts
+++ b/src/workers/reconcile.ts
@@ -50,6 +50,20 @@
   );
 }
 
+/** The newest message of a worker at some moment: its incarnation and sequence number order its messages. */
+export type MessagePosition = Pick<Heartbeat, 'incarnation' | 'sequence'>;
+
+/**
+ * Whether the answer to a direct request shows that the worker has lost its state: the answer was given after the
+ * request was sent, and yet is not newer than what the worker had sent before. Only its own answer shows that, since a
+ * heartbeat may be a late copy.
+ */
+export function isAnswerOfResetWorker(answer: MessagePosition, knownAtRequest: MessagePosition): boolean {
+  if (answer.incarnation !== knownAtRequest.incarnation)
+    return answer.incarnation < knownAtRequest.incarnation;
+  return answer.sequence <= knownAtRequest.sequence;
+}
+
 /**
  * Applies a newer heartbeat. `direct`: the heartbeat is the answer to a direct request, so a start that is in flight on
  * another path may still follow. Only a heartbeat that wasn't requested proves that the start in an earlier response
--- a/test/sim/generated.ts
+++ b/test/sim/generated.ts
@@ -150,3 +150,28 @@
       jobs: spec.jobs.map((job, index) => ({ ...job, mistaken: index % 4 === mistakenRemainder })),
       faults: [...spec.faults, ...repeats],
     }));
+
+const returnS = fc.double({ min: 0.1, max: 2, noNaN: true });
+const returnAtS = fc.double({ min: 10, max: 90, noNaN: true });
+
+/** Controllers and machines that are back after 0.1 to 2 s; the workers of the machines as they were, or emptied. */
+const quickReturns = (emptied: boolean): fc.Arbitrary<Fault[]> =>
+  fc.tuple(
+    fc.record({ kind: fc.constant('crash' as const), node: nodeChoice, atS: returnAtS, forS: returnS }),
+    fc.record({ kind: fc.constant('crash' as const), node: nodeChoice, atS: returnAtS, forS: returnS }),
+    ...Array.from({ length: 4 }, () =>
+      fc.record({
+        kind: fc.constant('machine_restart' as const),
+        machines: machineChoice,
+        emptied: fc.constant(emptied),
+        atS: returnAtS,
+        forS: returnS,
+      }),
+    ),
+  );
+
+/** The same days with controllers and machines that are back within two seconds. */
+export const withQuickReturns = (day: fc.Arbitrary<DaySpec>, emptied: boolean): fc.Arbitrary<DaySpec> =>
+  fc
+    .tuple(day, quickReturns(emptied))
+    .map(([spec, returns]) => ({ ...spec, faults: [...spec.faults, ...returns] }));
