Only a worker's own answer shows that it lost its state

At the address of a machine that is gone another machine may answer, and its position would have been compared with that of the first one. The request now says which machine it was sent to; the new test of the leader has both cases.

--- a/src/leader/command-dispatcher.ts
+++ b/src/leader/command-dispatcher.ts
@@ -27,6 +27,12 @@
 /** Pause after commands that the worker executed. */
 const EXECUTED_PAUSE_MS = 300;
 
+/** A direct request to a machine's worker, with the newest message of the worker when the request was sent. */
+export interface DirectRequest {
+  readonly machine: Machine;
+  readonly known: MessagePosition;
+}
+
 /** Sends direct commands and probes, and keeps account of the machines that don't answer them. */
 export class CommandDispatcher {
   private readonly probing = new Set<Machine>();
@@ -38,8 +44,8 @@
   constructor(
     private readonly cluster: Cluster,
     private readonly deps: Pick<LeaderDeps, 'host' | 'tokens'>,
-    /** Applies what a worker answered to a request that was sent when its newest message was the given one. */
-    private readonly onResponse: (heartbeat: Heartbeat, knownAtRequest: MessagePosition) => void,
+    /** Applies what was answered to a direct request. */
+    private readonly onResponse: (heartbeat: Heartbeat, request: DirectRequest) => void,
   ) {
     this.taskLog = new TaskLog(deps.host.log);
   }
@@ -96,13 +102,13 @@
     for (const attempt of started) attempt.noteDirectStartSent();
     const { host } = this.deps;
     const token = machine.commandToken;
-    const known = machine.newestMessage;
+    const request = { machine, known: machine.newestMessage };
     this.taskLog.commandsSent(machine, token, commands, 'directCommand');
     const settle = (result: CommandResult): void => {
       host.enqueue(() => {
         for (const attempt of started) attempt.noteDirectStartCompleted(startDelivery(result), token);
         this.taskLog.commandsCompleted(machine, token, result);
-        this.onCommandResult(machine, known, result);
+        this.onCommandResult(request, result);
       });
     };
     host.sendCommands(machine, token, commands).then(settle, (error: unknown) => {
@@ -111,7 +117,8 @@
     });
   }
 
-  private onCommandResult(machine: Machine, known: MessagePosition, result: CommandResult): void {
+  private onCommandResult(request: DirectRequest, result: CommandResult): void {
+    const { machine } = request;
     const now = this.deps.host.clock.now();
     if (result.kind !== 'answered') {
       machine.endCommand(now + UNANSWERED_PAUSE_MS);
@@ -121,7 +128,7 @@
     }
     machine.endCommand(now + (result.executed ? EXECUTED_PAUSE_MS : REFUSED_PAUSE_MS));
     this.noteAnswer(machine, now);
-    this.onResponse(result.heartbeat, known);
+    this.onResponse(result.heartbeat, request);
   }
 
   /** Asks a worker for its state: its heartbeats may be lost on the way while it lives, or our responses to it. */
@@ -129,12 +136,12 @@
     if (this.probing.has(machine) || this.probing.size >= this.maxConcurrentProbes()) return;
     if (machine.identity.address === '') return;
     this.probing.add(machine);
-    const known = machine.newestMessage;
+    const request = { machine, known: machine.newestMessage };
     const { host } = this.deps;
     const settle = (result: InspectResult): void => {
       this.allowProbeAfterPause(machine);
       host.enqueue(() => {
-        this.onProbeResult(machine, known, result);
+        this.onProbeResult(request, result);
       });
     };
     host.inspect(machine).then(settle, (error: unknown) => {
@@ -156,7 +163,8 @@
     this.deps.host.pause(PROBE_PAUSE_MS).then(allow, allow);
   }
 
-  private onProbeResult(machine: Machine, known: MessagePosition, result: InspectResult): void {
+  private onProbeResult(request: DirectRequest, result: InspectResult): void {
+    const { machine } = request;
     if (result.kind !== 'answered') {
       machine.connectivity.noteFailedProbe();
       this.unanswered.add(machine);
@@ -166,7 +174,7 @@
     // A higher token shows that another controller leads by now, so the state of this worker is not applied. The lease,
     // heartbeats and responses to commands end this leadership.
     const { heartbeat } = result;
-    if (!this.deps.tokens.isSuperseding(heartbeat.fencingToken)) this.onResponse(heartbeat, known);
+    if (!this.deps.tokens.isSuperseding(heartbeat.fencingToken)) this.onResponse(heartbeat, request);
   }
 
   private noteAnswer(machine: Machine, now: number): void {
--- a/src/leader/heartbeat-intake.ts
+++ b/src/leader/heartbeat-intake.ts
@@ -7,13 +7,12 @@
   buildCommands,
   isAnswerOfResetWorker,
   isNewerHeartbeat,
-  type MessagePosition,
   needsHigherToken,
   noteStartsInResponse,
 } from '../workers/reconcile.ts';
 import type { Attempts } from './attempts.ts';
 import type { Cluster } from './cluster.ts';
-import type { CommandDispatcher } from './command-dispatcher.ts';
+import type { CommandDispatcher, DirectRequest } from './command-dispatcher.ts';
 import type { LeaderDeps } from './context.ts';
 import type { MachineMembership } from './machine-membership.ts';
 import { TaskLog } from './task-log.ts';
@@ -67,16 +66,16 @@
     return { fencingToken: machine.commandToken, commands };
   }
 
-  /**
-   * What a worker answered to commands or to a probe. `knownAtRequest`: the worker's newest message when the request was
-   * sent.
-   */
-  onDirectResponse(heartbeat: Heartbeat, knownAtRequest: MessagePosition): void {
+  /** What a worker answered to commands or to a probe. */
+  onDirectResponse(heartbeat: Heartbeat, request: DirectRequest): void {
     if (this.isSuperseded(heartbeat)) return;
     // Only of machines that are still members: an answer can be older than the machine's termination.
     const machine = this.parts.cluster.machines.get(heartbeat.machine);
     if (!machine) return;
-    if (isAnswerOfResetWorker(heartbeat, knownAtRequest)) this.terminateReset(machine, heartbeat);
+    // At the address of a machine that is gone, another one may answer.
+    const isOwnAnswer = machine === request.machine;
+    if (isOwnAnswer && isAnswerOfResetWorker(heartbeat, request.known))
+      this.terminateReset(machine, heartbeat);
     else this.applyMessage(heartbeat, true);
   }
 
--- a/src/leader/leader.ts
+++ b/src/leader/leader.ts
@@ -83,9 +83,9 @@
       completion: this.completion,
       startWatermarks: this.startWatermarks,
     });
-    this.dispatcher = new CommandDispatcher(this.cluster, deps, (heartbeat, knownAtRequest) => {
+    this.dispatcher = new CommandDispatcher(this.cluster, deps, (heartbeat, request) => {
       // Answers still arrive after the end of this leadership.
-      if (!this.stopped) this.heartbeats.onDirectResponse(heartbeat, knownAtRequest);
+      if (!this.stopped) this.heartbeats.onDirectResponse(heartbeat, request);
     });
     this.rounds = new SchedulingRounds(this.cluster, this.provisioner, snapshots, this.attempts, deps);
     this.monitor = new MachineMonitor({
--- a/src/workers/attempt.ts
+++ b/src/workers/attempt.ts
@@ -57,6 +57,10 @@
 
   private directStartsInFlightCount = 0;
   private startMayBeExecuted = false;
+  /**
+   * The highest fencing token of a direct command with the start that was executed or had no answer; null: there was
+   * none. Such a command can arrive again at any time, and is accepted by a worker that has not seen a higher token.
+   */
   private highestStartToken: number | null = null;
   private isReleaseAwaitingToken = false;
   private responseMayCarryStart = false;
@@ -149,14 +153,6 @@
     return this.directStartsInFlightCount;
   }
 
-  /**
-   * The highest fencing token of a direct command with the start that was executed or had no answer; null: there was
-   * none. Such a command can arrive again at any time, and is accepted by a worker that has not seen a higher token.
-   */
-  get startToken(): number | null {
-    return this.highestStartToken;
-  }
-
   /** Whether a worker that has seen this token accepts a copy of a direct command with the start. */
   isStartAcceptedAfter(token: number): boolean {
     return this.highestStartToken !== null && token <= this.highestStartToken;
--- a/test/leader/leader.test.ts
+++ b/test/leader/leader.test.ts
@@ -272,6 +272,31 @@
   assert.deepEqual(harness.terminated, []);
 });
 
+test('a machine whose worker answers with an earlier position has lost its tasks and is terminated', async () => {
+  const harness = new LeaderHarness();
+  const position = { incarnation: 1, sequence: 40, fencingToken: TERM };
+  harness.recover(
+    [],
+    [
+      ['n-1', 'a'],
+      ['n-2', 'a'],
+    ],
+  );
+  for (const name of ['n-1', 'n-2']) harness.leader.onHeartbeat(heartbeatOf(name, 'a', position));
+  await harness.advance(6);
+  const [first, second] = harness.probes.splice(0);
+  assert.deepEqual([first?.machine, second?.machine], ['n-1', 'n-2']);
+  const earlier = heartbeatOf('n-2', 'a', { ...position, sequence: 3 });
+  first?.answer({ kind: 'answered', heartbeat: earlier });
+  await harness.advance(1);
+  assert.deepEqual(harness.terminated, [], 'another machine answers at the address of the first one');
+  second?.answer({ kind: 'answered', heartbeat: earlier });
+  await harness.advance(1);
+  assert.deepEqual(harness.terminated, ['n-2']);
+  const copy = heartbeatOf('n-1', 'a', { ...position, sequence: 2 });
+  assert.equal(harness.leader.onHeartbeat(copy), null, 'a late copy renews no lease');
+});
+
 test('a machine that joins after its termination was requested is assigned no tasks', async () => {
   const harness = new LeaderHarness();
   harness.cloudAvailable = false;
