--- a/src/leader/heartbeat-intake.ts
+++ b/src/leader/heartbeat-intake.ts
@@ -53,12 +53,14 @@
     // Before recovery no cancellation is known: an answer would renew the lease of tasks that must be gone within
     // `cancel_s`, without stopping them. Their worker tries again a second later.
     if (!cluster.recovered) return null;
-    if (this.isOutdated(heartbeat)) return null;
-    const machine = this.applyMessage(heartbeat, false);
+    const known = cluster.machines.get(heartbeat.machine);
+    if (known && this.isOutdated(known, heartbeat)) return null;
+    const machine = known ?? membership.admit(heartbeat);
     if (!machine) {
       membership.noteAnswerBeforeJoining();
       return { fencingToken: Math.max(this.deps.tokens.first, heartbeat.fencingToken), commands: [] };
     }
+    this.applyMessage(machine, heartbeat, false);
     if (machine.awaitingLeaseExpiry) return null;
     const commands = buildCommands(machine, dispatcher.canStartOn(machine));
     noteStartsInResponse(machine, commands);
@@ -76,7 +78,7 @@
     const isOwnAnswer = machine === request.machine;
     if (isOwnAnswer && isAnswerOfResetWorker(heartbeat, request.known))
       this.terminateReset(machine, heartbeat);
-    else this.applyMessage(heartbeat, true);
+    else this.applyMessage(machine, heartbeat, true);
   }
 
   /**
@@ -95,9 +97,8 @@
    * answer would renew a lease that counts as not renewed. A heartbeat that the answer to a direct request has overtaken
    * arrives within one interval after that answer.
    */
-  private isOutdated(heartbeat: Heartbeat): boolean {
-    const machine = this.parts.cluster.machines.get(heartbeat.machine);
-    if (!machine || isNewerHeartbeat(machine, heartbeat)) return false;
+  private isOutdated(machine: Machine, heartbeat: Heartbeat): boolean {
+    if (isNewerHeartbeat(machine, heartbeat)) return false;
     const heartbeatIntervalMs = this.deps.settings.settings.workers.report_s * 1000;
     return this.deps.host.clock.now() - machine.connectivity.lastMessageAt > heartbeatIntervalMs;
   }
@@ -109,23 +110,17 @@
     return true;
   }
 
-  /** `direct`: the answer to commands or to a probe, not a heartbeat. Returns null for a machine that doesn't join. */
-  private applyMessage(heartbeat: Heartbeat, direct: boolean): Machine | null {
-    const { cluster, membership } = this.parts;
+  /** `direct`: the answer to commands or to a probe, not a heartbeat. */
+  private applyMessage(machine: Machine, heartbeat: Heartbeat, direct: boolean): void {
     const now = this.deps.host.clock.now();
-    const machine = cluster.machines.get(heartbeat.machine) ?? membership.admit(heartbeat);
-    if (!machine) return null;
     if (!isNewerHeartbeat(machine, heartbeat)) {
       if (!direct) machine.noteLeaseRenewal(now);
-      return machine;
-    }
-    if (this.isStale(machine, heartbeat)) {
+    } else if (this.isStale(machine, heartbeat)) {
       // The worker holds no task that counts, so its lease matters for none.
       if (!direct) machine.noteLeaseRenewal(machine.connectivity.lastMessageAt);
-      return machine;
+    } else {
+      this.applyNewer(machine, heartbeat, direct, now);
     }
-    this.applyNewer(machine, heartbeat, direct, now);
-    return machine;
   }
 
   private applyNewer(machine: Machine, heartbeat: Heartbeat, direct: boolean, now: number): void {
--- a/src/workers/attempt.ts
+++ b/src/workers/attempt.ts
@@ -181,12 +181,13 @@
     this.directStartsInFlightCount -= 1;
     if (delivery === 'notExecuted') return;
     this.highestStartToken = Math.max(this.highestStartToken ?? token, token);
+    this.machine.noteStartToken(token);
     if (delivery === 'unanswered') this.startMayBeExecuted = true;
   }
 
   /** The worker has seen this token: a start in doubt with a lower one is not executed any more. */
   noteTokenSeen(token: number): void {
-    if (!this.isStartAcceptedAfter(token)) this.startMayBeExecuted = false;
+    if (this.startMayBeExecuted && !this.isStartAcceptedAfter(token)) this.startMayBeExecuted = false;
   }
 
   /** The response to a heartbeat carries the start. */
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -54,6 +54,7 @@
   private knownSequence = 0;
   private highestFencingToken = 0;
   private tokenInUse: number;
+  private highestStartToken = 0;
   private isLeaseExpired = false;
   private reclaimAtMs: number | null = null;
   private renewedBefore: number;
@@ -128,6 +129,16 @@
     return this.tokenInUse;
   }
 
+  /** A direct command with the start of an attempt carried this token, and was executed or had no answer. */
+  noteStartToken(token: number): void {
+    this.highestStartToken = Math.max(this.highestStartToken, token);
+  }
+
+  /** Whether a message with the present token leaves the worker accepting copies of direct commands with starts. */
+  get acceptsStartCopies(): boolean {
+    return this.tokenInUse <= this.highestStartToken;
+  }
+
   /** From now on messages to the worker carry a higher token: it refuses whatever was sent before. */
   raiseCommandToken(): void {
     this.tokenInUse += 1;
@@ -167,10 +178,11 @@
     this.connectivity.noteMessage(direct, now);
     this.reclaimAtMs =
       heartbeat.interruptionNoticeS === null ? null : now + heartbeat.interruptionNoticeS * 1000;
-    for (const attempt of this.attempts.values()) attempt.noteTokenSeen(heartbeat.fencingToken);
-    if (direct) return;
-    // A worker has one heartbeat in flight at a time, so the responses to earlier ones are executed or discarded.
-    for (const attempt of this.attempts.values()) attempt.noteResponseSettled();
+    for (const attempt of this.attempts.values()) {
+      attempt.noteTokenSeen(heartbeat.fencingToken);
+      // A worker has one heartbeat in flight at a time, so the responses to earlier ones are executed or discarded.
+      if (!direct) attempt.noteResponseSettled();
+    }
   }
 
   /** A heartbeat that was answered at `before` or earlier may have renewed the lease. */
--- a/src/workers/reconcile.ts
+++ b/src/workers/reconcile.ts
@@ -183,6 +183,7 @@
  * worker refuses copies of the direct command that started it.
  */
 export function needsHigherToken(machine: Machine): boolean {
+  if (!machine.acceptsStartCopies) return false;
   for (const attempt of machine.attempts.values()) {
     if (!attempt.isStartAcceptedAfter(machine.commandToken)) continue;
     if (attempt.awaitsHigherToken || isForgettable(attempt)) return true;
