--- a/test/workers/reconcile.test.ts
+++ b/test/workers/reconcile.test.ts
@@ -2,6 +2,8 @@
 import test from 'node:test';
 import fc from 'fast-check';
 import { Job } from '../../src/jobs/job.ts';
+import type { Attempt } from '../../src/workers/attempt.ts';
+import type { Machine } from '../../src/workers/machine.ts';
 import {
   applyHeartbeat,
   buildCommands,
@@ -9,6 +11,7 @@
   canForget,
   needsHigherToken,
   noteStartsInResponse,
+  type ReconcileContext,
 } from '../../src/workers/reconcile.ts';
 import { SEED } from '../helpers.ts';
 import { FIRST_TOKEN, heartbeat, setup, SPEC, taskStatus } from './fixtures.ts';
@@ -80,13 +83,19 @@
   assert.equal(canForget(attempt, HIGHER_TOKEN), true, 'its start is refused by then, executed or not');
 });
 
-test('an attempt started by an answered direct command is forgotten only under a higher token', () => {
+/** A machine with one attempt whose start was executed and answered, by a direct command under the first token. */
+function setupStarted(): { machine: Machine; attempt: Attempt; context: ReconcileContext } {
   const { machine, job, assign } = setup();
   const context = { now: 1, jobOf: () => job };
   applyHeartbeat(machine, heartbeat(1, 1), false, context);
   const attempt = assign(0);
   attempt.noteDirectStartSent();
   attempt.noteDirectStartCompleted('executed', FIRST_TOKEN);
+  return { machine, attempt, context };
+}
+
+test('an attempt started by an answered direct command is forgotten only under a higher token', () => {
+  const { machine, attempt, context } = setupStarted();
   const failed = [taskStatus(0, { phase: 'ended', exitReason: 'error' })];
   applyHeartbeat(machine, heartbeat(1, 2, failed), false, context);
   assert.ok(attempt.released);
@@ -100,12 +109,7 @@
 });
 
 test('an attempt that a worker has lost is released only once the worker refuses copies of its start', () => {
-  const { machine, job, assign } = setup();
-  const context = { now: 1, jobOf: () => job };
-  applyHeartbeat(machine, heartbeat(1, 1), false, context);
-  const attempt = assign(0);
-  attempt.noteDirectStartSent();
-  attempt.noteDirectStartCompleted('executed', FIRST_TOKEN);
+  const { machine, attempt, context } = setupStarted();
   applyHeartbeat(machine, heartbeat(1, 2, [taskStatus(0)]), false, context);
   assert.deepEqual(applyHeartbeat(machine, heartbeat(1, 3), false, context), []);
   assert.equal(needsHigherToken(machine), true);
