A lost attempt waits for a start in flight, and its stop is not due

Found on reading the change once more; no user has seen it. An attempt that its worker had reported and lost was released although another direct command with its start was still in flight: only starts that had completed were compared with the token. And its decided stop counted as due while buildCommands leaves it out, so that empty messages went out every 300 ms, each holding up the raise of the token that ends the wait.

Both new tests failed before.

--- a/src/leader/command-dispatcher.ts
+++ b/src/leader/command-dispatcher.ts
@@ -69,9 +69,13 @@
   hasDueCommands(machine: Machine): boolean {
     for (const attempt of machine.attempts.values()) {
       if (attempt.released) continue;
-      if (attempt.stopGraceS !== null) {
-        if (attempt.observed) return true;
-      } else if (!attempt.observed && isStartDurable(attempt) && this.canStartOn(machine)) {
+      if (attempt.stopDue) return true;
+      if (
+        attempt.stopGraceS === null &&
+        !attempt.observed &&
+        isStartDurable(attempt) &&
+        this.canStartOn(machine)
+      ) {
         return true;
       }
     }
@@ -215,7 +219,7 @@
 
 function hasDueStop(machine: Machine): boolean {
   for (const attempt of machine.attempts.values()) {
-    if (!attempt.released && attempt.observed && attempt.stopGraceS !== null) return true;
+    if (!attempt.released && attempt.stopDue) return true;
   }
   return false;
 }
--- a/src/workers/attempt.ts
+++ b/src/workers/attempt.ts
@@ -141,6 +141,11 @@
     return this.decidedStopGraceS;
   }
 
+  /** Whether the worker is to be told to stop the task: a stop is decided, and the worker holds the attempt. */
+  get stopDue(): boolean {
+    return this.decidedStopGraceS !== null && this.observed && !this.isReleaseAwaitingToken;
+  }
+
   /** Decides that the task must stop, or changes the grace period of its stop. */
   decideStop(graceS: number): void {
     this.decidedStopGraceS = graceS;
--- a/src/workers/reconcile.ts
+++ b/src/workers/reconcile.ts
@@ -133,11 +133,11 @@
 ): void {
   for (const [key, attempt] of machine.attempts) {
     if (reported.has(key)) continue;
+    if (attempt.directStartsInFlight > 0) continue;
     // The worker has reported the attempt before and doesn't any more: it has forgotten the attempt.
     const forgotten = attempt.observed;
-    // The task must stop, and its start is on no way to the worker: the worker has executed or discarded the responses
-    // before this heartbeat, and no direct start is in flight.
-    const mustNotStart = attempt.stopGraceS !== null && !direct && attempt.directStartsInFlight === 0;
+    // The task must stop, and the worker has executed or discarded the responses before this heartbeat.
+    const mustNotStart = attempt.stopGraceS !== null && !direct;
     if (!forgotten && !mustNotStart) continue;
     if (attempt.isStartAcceptedAfter(seenToken)) {
       attempt.awaitHigherToken();
@@ -207,8 +207,7 @@
     if (attempt.phase === 'ended') {
       if (canForget(attempt, machine.commandToken)) commands.push({ op: 'forget', ...target });
     } else if (attempt.stopGraceS !== null) {
-      if (attempt.observed && !attempt.awaitsHigherToken)
-        commands.push({ op: 'stop', ...target, graceS: attempt.stopGraceS });
+      if (attempt.stopDue) commands.push({ op: 'stop', ...target, graceS: attempt.stopGraceS });
     } else if (!attempt.observed && canStart && isStartDurable(attempt)) {
       commands.push({ op: 'start', ...target });
     }
--- a/test/leader/command-dispatcher.test.ts
+++ b/test/leader/command-dispatcher.test.ts
@@ -74,6 +74,18 @@
   assert.deepEqual(responses, [answer]);
 });
 
+test('a stop of an attempt that its worker has lost is not due, so no empty message is sent for it', () => {
+  const { machine, assign } = setup();
+  const attempt = assign(0);
+  attempt.observe('running', 0);
+  attempt.decideStop(0);
+  const { dispatcher } = dispatcherOn({});
+  assert.equal(dispatcher.hasDueCommands(machine), true);
+  attempt.awaitHigherToken();
+  assert.equal(dispatcher.hasDueCommands(machine), false);
+  assert.deepEqual(buildCommands(machine, true), []);
+});
+
 test('a probe fails if its request is not answered or fails with an unexpected error', async () => {
   const unanswered = () => Promise.resolve({ kind: 'unanswered' } as const);
   for (const inspect of [unanswered, () => Promise.reject(new Error('defect'))]) {
--- a/test/workers/reconcile.test.ts
+++ b/test/workers/reconcile.test.ts
@@ -119,6 +119,16 @@
   assert.deepEqual(events, [{ kind: 'released', attempt, checkpointed: false }]);
 });
 
+test('a lost attempt is not released while a direct command with its start is in flight', () => {
+  const { machine, attempt, context } = setupStarted();
+  applyHeartbeat(machine, heartbeat(1, 2, [taskStatus(0)]), false, context);
+  attempt.noteDirectStartSent();
+  assert.deepEqual(applyHeartbeat(machine, heartbeat(1, 3, [], HIGHER_TOKEN), false, context), []);
+  attempt.noteDirectStartCompleted('notExecuted', FIRST_TOKEN);
+  const events = applyHeartbeat(machine, heartbeat(1, 4, [], HIGHER_TOKEN), false, context);
+  assert.deepEqual(events, [{ kind: 'released', attempt, checkpointed: false }]);
+});
+
 test('commands carry no lower token than the worker has shown', () => {
   const { machine, job } = setup();
   applyHeartbeat(machine, heartbeat(1, 1, [], 40), false, { now: 1, jobOf: () => job });
